--- /dev/null
+++ b/src/admission/occupancy.cc
@@ -0,0 +1,44 @@
+#include "admission/occupancy.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace dandelion::admission {
+
+Occupancy& Occupancy::operator+=(const Occupancy& other) {
+  for (size_t i = 0; i < kGrid.size(); ++i) {
+    mean[i] += other.mean[i];
+    variance[i] += other.variance[i];
+  }
+  return *this;
+}
+
+Occupancy& Occupancy::operator-=(const Occupancy& other) {
+  for (size_t i = 0; i < kGrid.size(); ++i) {
+    mean[i] -= other.mean[i];
+    variance[i] -= other.variance[i];
+  }
+  return *this;
+}
+
+Occupancy OccupancyOf(const GridValues& survival, int64_t context) {
+  Occupancy occupancy;
+  for (size_t i = 0; i < kGrid.size(); ++i) {
+    const auto size = static_cast<float>(context + kGrid[i]);
+    const float alive = survival[i];
+    occupancy.mean[i] = alive * size;
+    occupancy.variance[i] = alive * (1 - alive) * size * size;
+  }
+  return occupancy;
+}
+
+double PeakTokens(const Occupancy& occupancy, double z) {
+  double peak = 0;
+  for (size_t i = 0; i < kGrid.size(); ++i) {
+    const double variance = std::max(0.0F, occupancy.variance[i]);
+    peak = std::max(peak, occupancy.mean[i] + z * std::sqrt(variance));
+  }
+  return peak;
+}
+
+}  // namespace dandelion::admission
--- /dev/null
+++ b/src/admission/slot_service.cc
@@ -0,0 +1,307 @@
+#include "admission/slot_service.h"
+
+#include <utility>
+
+#include "telemetry/events.h"
+
+namespace dandelion::admission {
+namespace {
+
+using base::HostId;
+using base::Millis;
+using base::Slots;
+using base::Task;
+using base::UpstreamId;
+using config::Upstream;
+using telemetry::Emit;
+using telemetry::Event;
+
+void ToProto(const Occupancy& occupancy, proto::Occupancy* out) {
+  for (size_t i = 0; i < kGrid.size(); ++i) {
+    out->add_mean(occupancy.mean[i]);
+    out->add_variance(occupancy.variance[i]);
+  }
+}
+
+Occupancy FromProto(const proto::Occupancy& in) {
+  Occupancy occupancy;
+  const auto points = static_cast<int>(kGrid.size());
+  if (in.mean_size() == points && in.variance_size() == points) {
+    std::copy(in.mean().begin(), in.mean().end(), occupancy.mean.begin());
+    std::copy(in.variance().begin(), in.variance().end(),
+              occupancy.variance.begin());
+  }
+  return occupancy;
+}
+
+void ToProto(const SlotAsk& ask, proto::SlotAsk* out) {
+  out->set_upstream(ask.upstream.value());
+  out->set_in_flight(ask.in_flight.count());
+  out->set_needed(ask.needed.count());
+  out->set_spare(ask.spare.count());
+  out->set_holding(ask.holding.count());
+  out->set_successes(ask.successes);
+  out->set_failures(ask.failures);
+  // Idle holders have nothing to add.
+  if (ask.in_flight > Slots(0)) {
+    ToProto(ask.occupancy, out->mutable_occupancy());
+  }
+}
+
+SlotAsk FromProto(const proto::SlotAsk& in) {
+  SlotAsk ask;
+  ask.upstream = UpstreamId(in.upstream());
+  ask.in_flight = Slots(in.in_flight());
+  ask.needed = Slots(in.needed());
+  ask.spare = Slots(in.spare());
+  ask.holding = Slots(in.holding());
+  ask.successes = in.successes();
+  ask.failures = in.failures();
+  ask.occupancy = FromProto(in.occupancy());
+  return ask;
+}
+
+void ToProto(const SlotGrant& grant, Millis now, proto::SlotGrant* out) {
+  out->set_upstream(grant.upstream.value());
+  out->set_slots(grant.slots.count());
+  out->set_ttl_ms(grant.ttl.count());
+  if (grant.others.mean[0] > 0) {
+    ToProto(grant.others, out->mutable_others());
+  }
+  proto::UpstreamReport& report = *out->mutable_report();
+  report.set_incarnation(grant.report.incarnation.value());
+  report.set_reachable(grant.report.reachable);
+  report.set_running(grant.report.running);
+  report.set_waiting(grant.report.waiting);
+  report.set_memory_used(grant.report.memory_used);
+  report.set_memory_total(grant.report.memory_total);
+  report.set_preemptions(grant.report.preemptions);
+  report.set_cold(grant.report.cold);
+  report.set_leaving(grant.report.leaving);
+  report.set_age_ms((now - grant.report.received).count());
+}
+
+SlotGrant FromProto(const proto::SlotGrant& in, Millis now) {
+  SlotGrant grant;
+  grant.upstream = UpstreamId(in.upstream());
+  grant.slots = Slots(in.slots());
+  grant.ttl = Millis(in.ttl_ms());
+  grant.others = FromProto(in.others());
+  const proto::UpstreamReport& report = in.report();
+  grant.report.incarnation = base::Incarnation(report.incarnation());
+  grant.report.reachable = report.reachable();
+  grant.report.running = report.running();
+  grant.report.waiting = report.waiting();
+  grant.report.memory_used = report.memory_used();
+  grant.report.memory_total = report.memory_total();
+  grant.report.preemptions = report.preemptions();
+  grant.report.cold = report.cold();
+  grant.report.leaving = report.leaving();
+  grant.report.received = now - Millis(report.age_ms());
+  return grant;
+}
+
+}  // namespace
+
+SlotService::SlotService(base::Executor executor,
+                         base::Clock clock,
+                         membership::Membership& membership,
+                         Hooks hooks)
+    : executor_(executor),
+      clock_(clock),
+      membership_(membership),
+      hooks_(std::move(hooks)),
+      owner_(clock),
+      holder_(clock),
+      wake_(executor) {}
+
+void SlotService::Start() {
+  base::Spawn(executor_, Run());
+}
+
+Task<void> SlotService::Run() {
+  while (!stopped_) {
+    RefreshOwnership();
+    Ask();
+    asked_at_ = clock_.Now();
+    hurry_ = false;
+    co_await base::WaitFor(wake_, kRoundInterval);
+    const Millis since = clock_.Now() - asked_at_;
+    if (hurry_ && since < kHurriedInterval) {
+      co_await base::WaitFor(wake_, kHurriedInterval - since);
+    }
+  }
+}
+
+void SlotService::Hurry() {
+  if (!hurry_) {
+    hurry_ = true;
+    wake_.cancel();
+  }
+}
+
+void SlotService::OnTables(std::shared_ptr<const config::Tables> tables) {
+  tables_ = std::move(tables);
+  RefreshOwnership();
+  Hurry();
+}
+
+void SlotService::RefreshOwnership() {
+  if (!tables_) {
+    return;
+  }
+  const membership::Member& self = membership_.self();
+  for (const auto& [id, upstream] : tables_->upstreams) {
+    const bool mine = upstream.data_centre == self.data_centre &&
+                      membership_.OwnerOf(id, self.data_centre) == self.id;
+    if (!mine) {
+      owner_.Disown(id);
+      continue;
+    }
+    const SlotLimits limits{upstream.slots, upstream.cold_slots};
+    owner_.Own(id, limits, /*settled=*/false);
+    if (polled_.insert(id).second) {
+      base::Spawn(executor_, Poll(id));
+    }
+  }
+}
+
+// Polls one upstream for as long as this daemon owns it.
+Task<void> SlotService::Poll(UpstreamId id) {
+  while (!stopped_ && owner_.Owns(id)) {
+    const auto found = tables_->upstreams.find(id);
+    if (found == tables_->upstreams.end()) {
+      owner_.Disown(id);
+      break;
+    }
+    const Upstream upstream = found->second;
+    const absl::StatusOr<UpstreamReport> report =
+        co_await hooks_.poll(upstream);
+    NoteReport(id, report);
+    co_await base::Delay(kPollInterval);
+  }
+  polled_.erase(id);
+}
+
+void SlotService::NoteReport(const UpstreamId& id,
+                             const absl::StatusOr<UpstreamReport>& report) {
+  const UpstreamReport* known = owner_.ReportOf(id);
+  if (known == nullptr) {
+    return;
+  }
+  const UpstreamReport before = *known;
+  const UpstreamReport now = report.ok() ? *report : UpstreamReport();
+  owner_.OnReport(id, now);
+  if (before.reachable != now.reachable) {
+    Emit(now.reachable ? Event::kUpstreamContact : Event::kUpstreamLost,
+         {{"upstream", id.value()},
+          {"reason", std::string(report.status().message())}});
+  }
+  if (now.reachable && before.cold != now.cold) {
+    Emit(now.cold ? Event::kUpstreamCold : Event::kUpstreamWarm,
+         {{"upstream", id.value()}});
+  }
+  if (now.leaving && !membership_.IsLeaving(id, now.incarnation)) {
+    Emit(Event::kUpstreamLeaving,
+         {{"upstream", id.value()}, {"source", "engine"}});
+    membership_.MarkLeaving(id, now.incarnation);
+  }
+}
+
+std::map<HostId, std::vector<const Upstream*>> SlotService::GroupByOwner()
+    const {
+  std::map<HostId, std::vector<const Upstream*>> groups;
+  const base::DataCentreId& here = membership_.self().data_centre;
+  for (const auto& [id, upstream] : tables_->upstreams) {
+    const bool local = upstream.data_centre == here;
+    if (!local && holder_.InFlight(id) == Slots(0) &&
+        !hooks_.wants_remote(upstream)) {
+      continue;
+    }
+    const std::optional<HostId> owner =
+        membership_.OwnerOf(id, upstream.data_centre);
+    if (owner) {
+      groups[*owner].push_back(&upstream);
+    }
+  }
+  return groups;
+}
+
+void SlotService::Ask() {
+  if (!tables_) {
+    return;
+  }
+  for (const auto& [owner, upstreams] : GroupByOwner()) {
+    AskOwner(owner, upstreams);
+  }
+}
+
+void SlotService::AskOwner(const HostId& owner,
+                           const std::vector<const Upstream*>& upstreams) {
+  OpenRound& round = rounds_[owner];
+  const Millis now = clock_.Now();
+  if (!round.answered && now - round.asked < kRoundTimeout) {
+    return;
+  }
+  round = OpenRound{++last_round_, now, false};
+  holder_.OpenRound(owner, round.number);
+  if (owner == membership_.self().id) {
+    std::vector<SlotGrant> grants;
+    for (const Upstream* upstream : upstreams) {
+      grants.push_back(Grant(owner, round.number, MakeAsk(*upstream)));
+    }
+    round.answered = true;
+    holder_.OnGrants(owner, round.number, grants);
+    hooks_.on_grants();
+    return;
+  }
+  proto::Envelope message;
+  proto::SlotRequest& request = *message.mutable_slot_request();
+  request.set_round(round.number);
+  for (const Upstream* upstream : upstreams) {
+    ToProto(MakeAsk(*upstream), request.add_asks());
+  }
+  hooks_.send(owner, message);
+}
+
+SlotAsk SlotService::MakeAsk(const Upstream& upstream) {
+  const bool usable = tables_->InService(upstream);
+  holder_.SetQueued(upstream.id, usable ? hooks_.queued(upstream) : 0);
+  SlotAsk ask = holder_.MakeAsk(upstream.id, usable ? kSpareSlots : 0);
+  ask.occupancy = hooks_.occupancy(upstream.id);
+  return ask;
+}
+
+SlotGrant SlotService::Grant(const HostId& holder,
+                             uint64_t round,
+                             const SlotAsk& ask) {
+  const membership::Visibility seen =
+      membership_.VisibilityOf(membership_.self().data_centre);
+  return owner_.OnAsk(holder, round, ask, seen.visible, seen.roster);
+}
+
+void SlotService::OnRequest(const HostId& from,
+                            const proto::SlotRequest& request) {
+  proto::Envelope message;
+  proto::SlotAnswer& answer = *message.mutable_slot_answer();
+  answer.set_round(request.round());
+  for (const proto::SlotAsk& ask : request.asks()) {
+    const SlotGrant grant = Grant(from, request.round(), FromProto(ask));
+    ToProto(grant, clock_.Now(), answer.add_grants());
+  }
+  hooks_.send(from, message);
+}
+
+void SlotService::OnAnswer(const HostId& from,
+                           const proto::SlotAnswer& answer) {
+  std::vector<SlotGrant> grants;
+  for (const proto::SlotGrant& grant : answer.grants()) {
+    grants.push_back(FromProto(grant, clock_.Now()));
+  }
+  if (holder_.OnGrants(from, answer.round(), grants)) {
+    rounds_[from].answered = true;
+    hooks_.on_grants();
+  }
+}
+
+}  // namespace dandelion::admission
--- /dev/null
+++ b/src/base/ids.cc
@@ -0,0 +1,19 @@
+#include "base/ids.h"
+
+#include <sodium.h>
+
+#include <array>
+
+namespace dandelion::base {
+
+std::string RandomName() {
+  constexpr size_t kNameBytes = 16;
+  std::array<unsigned char, kNameBytes> bytes;
+  randombytes_buf(bytes.data(), bytes.size());
+  std::string name(2 * kNameBytes + 1, '\0');
+  sodium_bin2hex(name.data(), name.size(), bytes.data(), bytes.size());
+  name.pop_back();
+  return name;
+}
+
+}  // namespace dandelion::base
--- /dev/null
+++ b/src/base/ids.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace dandelion::base {
+
+/// A name that cannot be mixed up with a name of another kind.
+template <typename Tag>
+class Id {
+ public:
+  Id() = default;
+  explicit Id(std::string value) : value_(std::move(value)) {}
+
+  const std::string& value() const { return value_; }
+  bool empty() const { return value_.empty(); }
+  auto operator<=>(const Id&) const = default;
+
+ private:
+  std::string value_;
+};
+
+/// A whole number of one unit.
+template <typename Tag>
+class Quantity {
+ public:
+  constexpr Quantity() = default;
+  constexpr explicit Quantity(int64_t count) : count_(count) {}
+
+  constexpr int64_t count() const { return count_; }
+  constexpr Quantity operator+(Quantity other) const {
+    return Quantity(count_ + other.count_);
+  }
+  constexpr Quantity operator-(Quantity other) const {
+    return Quantity(count_ - other.count_);
+  }
+  constexpr auto operator<=>(const Quantity&) const = default;
+
+ private:
+  int64_t count_ = 0;
+};
+
+using HostId = Id<struct HostTag>;
+using DataCentreId = Id<struct DataCentreTag>;
+using OrganisationId = Id<struct OrganisationTag>;
+using UpstreamId = Id<struct UpstreamTag>;
+using PoolName = Id<struct PoolTag>;
+using RouteName = Id<struct RouteTag>;
+using GenerationId = Id<struct GenerationTag>;
+using RequestId = Id<struct RequestTag>;
+/// Names one run of a process; a restart at the same address gets a new one.
+using Incarnation = Id<struct IncarnationTag>;
+
+using Slots = Quantity<struct SlotsUnit>;
+using Tokens = Quantity<struct TokensUnit>;
+/// An offset in a stream of the platform's log; the first record has 1.
+using Offset = Quantity<struct OffsetUnit>;
+
+/// Makes 16 random bytes as 32 hexadecimal digits.
+std::string RandomName();
+
+}  // namespace dandelion::base
+
+template <typename Tag>
+struct std::hash<dandelion::base::Id<Tag>> {
+  size_t operator()(const dandelion::base::Id<Tag>& id) const {
+    return std::hash<std::string>()(id.value());
+  }
+};
--- /dev/null
+++ b/src/base/task.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <chrono>
+
+#include "base/clock.h"
+
+namespace dandelion::base {
+
+/// A coroutine that runs on the daemon's executor.
+template <typename T>
+using Task = boost::asio::awaitable<T>;
+using Executor = boost::asio::any_io_executor;
+
+/// Completion token: returns the error code instead of throwing it.
+inline constexpr auto kNoThrow =
+    boost::asio::as_tuple(boost::asio::use_awaitable);
+
+/// Waits until `delay` has passed, or until the timer is cancelled.
+inline Task<void> WaitFor(boost::asio::steady_timer& timer, Millis delay) {
+  timer.expires_after(std::chrono::milliseconds(delay.count()));
+  co_await timer.async_wait(kNoThrow);
+}
+
+/// Waits until `delay` has passed.
+inline Task<void> Delay(Millis delay) {
+  boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
+  co_await WaitFor(timer, delay);
+}
+
+/// Starts `task` on `executor`. An exception in it ends the process, because
+/// tasks report failures by value.
+inline void Spawn(const Executor& executor, Task<void> task) {
+  boost::asio::co_spawn(executor, std::move(task),
+                        [](std::exception_ptr error) {
+                          if (error) {
+                            std::rethrow_exception(error);
+                          }
+                        });
+}
+
+}  // namespace dandelion::base
--- /dev/null
+++ b/src/claims/claim_fold.cc
@@ -0,0 +1,147 @@
+#include "claims/claim_fold.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "absl/strings/escaping.h"
+
+namespace dandelion::claims {
+namespace {
+
+using base::Offset;
+using nlohmann::json;
+
+json ToJson(const ClaimStep& step) {
+  json out = {{"identity", absl::Base64Escape(step.identity)},
+              {"attempt", step.attempt}};
+  switch (step.kind) {
+    case ClaimStep::Kind::kClaim:
+      out["step"] = "claim";
+      out["host"] = step.host.value();
+      out["incarnation"] = step.incarnation.value();
+      out["fingerprint"] = step.fingerprint;
+      break;
+    case ClaimStep::Kind::kRelease:
+      out["step"] = "release";
+      break;
+    case ClaimStep::Kind::kOutcome:
+      out["step"] = "outcome";
+      out["known"] = step.outcome.known;
+      out["status"] = step.outcome.status;
+      out["content_type"] = step.outcome.content_type;
+      out["body"] = absl::Base64Escape(step.outcome.body);
+      break;
+  }
+  return out;
+}
+
+ClaimStep FromJson(const json& in) {
+  ClaimStep step;
+  absl::Base64Unescape(in.at("identity").get<std::string>(), &step.identity);
+  step.attempt = in.at("attempt");
+  const std::string kind = in.at("step");
+  if (kind == "claim") {
+    step.host = base::HostId(in.at("host"));
+    step.incarnation = base::Incarnation(in.at("incarnation"));
+    step.fingerprint = in.at("fingerprint");
+  } else if (kind == "release") {
+    step.kind = ClaimStep::Kind::kRelease;
+  } else {
+    step.kind = ClaimStep::Kind::kOutcome;
+    step.outcome.known = in.at("known");
+    step.outcome.status = in.at("status");
+    step.outcome.content_type = in.at("content_type");
+    absl::Base64Unescape(in.at("body").get<std::string>(), &step.outcome.body);
+  }
+  return step;
+}
+
+}  // namespace
+
+std::string Identity::Text() const {
+  return json({organisation.value(), route.value(), key})
+      .dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::string EncodeSteps(const std::vector<ClaimStep>& steps) {
+  json out = json::array();
+  for (const ClaimStep& step : steps) {
+    out.push_back(ToJson(step));
+  }
+  return out.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::vector<ClaimStep> DecodeSteps(std::string_view text) {
+  std::vector<ClaimStep> steps;
+  try {
+    for (const json& step : json::parse(text)) {
+      steps.push_back(FromJson(step));
+    }
+  } catch (const json::exception&) {
+    return {};
+  }
+  return steps;
+}
+
+void ClaimFold::Apply(Offset offset, std::string_view record) {
+  if (offset < next_) {
+    return;
+  }
+  next_ = offset + Offset(1);
+  for (ClaimStep& step : DecodeSteps(record)) {
+    ApplyStep(offset, std::move(step));
+  }
+}
+
+void ClaimFold::ApplyStep(Offset offset, ClaimStep step) {
+  const std::string identity = step.identity;
+  const auto found = claims_.find(identity);
+  const bool taken = found != claims_.end();
+  const bool by_winner =
+      taken && found->second.claim.winner.attempt == step.attempt;
+  switch (step.kind) {
+    case ClaimStep::Kind::kClaim:
+      if (taken) {
+        return;
+      }
+      claims_[identity] = Entry{Claim{std::move(step), false, {}}, offset};
+      break;
+    case ClaimStep::Kind::kRelease:
+      if (by_winner && !found->second.claim.finished) {
+        claims_.erase(found);
+      }
+      return;
+    case ClaimStep::Kind::kOutcome:
+      // The claim itself may already be forgotten by the log.
+      if (taken && (!by_winner || found->second.claim.finished)) {
+        return;
+      }
+      Entry& entry = claims_[identity];
+      entry.claim.outcome = step.outcome;
+      entry.claim.finished = true;
+      if (!taken) {
+        entry.claim.winner = std::move(step);
+      }
+      entry.last = offset;
+      break;
+  }
+  by_offset_.emplace(offset, identity);
+}
+
+void ClaimFold::Expire(Offset first) {
+  while (!by_offset_.empty() && by_offset_.begin()->first < first) {
+    const auto oldest = by_offset_.begin();
+    const auto found = claims_.find(oldest->second);
+    if (found != claims_.end() && found->second.last == oldest->first) {
+      claims_.erase(found);
+    }
+    by_offset_.erase(oldest);
+  }
+}
+
+const Claim* ClaimFold::Find(const std::string& identity) const {
+  const auto found = claims_.find(identity);
+  return found == claims_.end() ? nullptr : &found->second.claim;
+}
+
+}  // namespace dandelion::claims
--- /dev/null
+++ b/src/config/fold.cc
@@ -0,0 +1,195 @@
+#include "config/fold.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "base/error.h"
+
+namespace dandelion::config {
+namespace {
+
+using nlohmann::json;
+
+absl::Status Rejected(const std::string& key, base::Offset has) {
+  return base::MakeError(
+      base::ErrorKind::kLostRace,
+      absl::StrCat(key, " was changed meanwhile by version ", has.count()),
+      "read the configuration in force and publish again");
+}
+
+base::Offset VersionOf(const Rows& rows, const std::string& key) {
+  const auto found = rows.find(key);
+  if (found == rows.end() || found->second.value.empty()) {
+    return base::Offset(0);
+  }
+  return found->second.version;
+}
+
+std::string KeepDrained(const std::string& old_value, std::string value) {
+  const json before = json::parse(old_value);
+  json after = json::parse(value);
+  if (before.value("drained", false) && !after.contains("drained")) {
+    after["drained"] = true;
+    return after.dump();
+  }
+  return value;
+}
+
+}  // namespace
+
+std::string Encode(const ConfigRecord& record) {
+  json out = {{"publish_id", record.publish_id}};
+  if (record.is_snapshot) {
+    json rows = json::array();
+    for (const auto& [key, row] : record.rows) {
+      rows.push_back({key, row.version.count(), row.value});
+    }
+    out["snapshot"] = {{"version", record.version.count()},
+                       {"through", record.through.count()},
+                       {"rows", std::move(rows)}};
+    return out.dump();
+  }
+  json changes = json::array();
+  for (const Change& change : record.changes) {
+    changes.push_back({change.key, change.replaces.count(), change.value});
+  }
+  out["changes"] = std::move(changes);
+  return out.dump();
+}
+
+absl::StatusOr<ConfigRecord> Decode(std::string_view text) {
+  try {
+    const json in = json::parse(text);
+    ConfigRecord record;
+    record.publish_id = in.at("publish_id");
+    if (in.contains("snapshot")) {
+      const json& snapshot = in.at("snapshot");
+      record.is_snapshot = true;
+      record.version = base::Offset(snapshot.at("version"));
+      record.through = base::Offset(snapshot.at("through"));
+      for (const json& row : snapshot.at("rows")) {
+        record.rows[row.at(0)] = Row{row.at(2), base::Offset(row.at(1))};
+      }
+      return record;
+    }
+    for (const json& change : in.at("changes")) {
+      record.changes.push_back(
+          Change{change.at(0), base::Offset(change.at(1)), change.at(2)});
+    }
+    return record;
+  } catch (const json::exception& error) {
+    return base::MakeError(base::ErrorKind::kInvalidTables,
+                           absl::StrCat("not a record: ", error.what()),
+                           "publish with dandelionctl");
+  }
+}
+
+FoldResult Fold::Apply(base::Offset offset, std::string_view text) {
+  if (offset < next_) {
+    return {Folded::kOld, absl::OkStatus()};
+  }
+  const absl::StatusOr<ConfigRecord> record = Decode(text);
+  if (record.ok() && record->is_snapshot) {
+    return ApplySnapshot(offset, *record);
+  }
+  if (offset > next_) {
+    return {Folded::kGap, absl::OkStatus()};
+  }
+  next_ = offset + base::Offset(1);
+  const absl::Status accepted =
+      record.ok() ? Accept(offset, *record) : record.status();
+  return {accepted.ok() ? Folded::kAccepted : Folded::kRejected, accepted};
+}
+
+FoldResult Fold::ApplySnapshot(base::Offset offset,
+                               const ConfigRecord& record) {
+  if (offset > next_ && record.through >= next_) {
+    // Rows that the snapshot lacks were deleted and forgotten.
+    rows_.clear();
+    Adopt(record.rows, record.version, record.through + base::Offset(1));
+  }
+  if (offset == next_) {
+    next_ = offset + base::Offset(1);
+  }
+  return {offset < next_ ? Folded::kSnapshot : Folded::kGap, absl::OkStatus()};
+}
+
+absl::Status Fold::Accept(base::Offset offset, const ConfigRecord& record) {
+  Rows rows = rows_;
+  for (const Change& change : record.changes) {
+    const base::Offset has = VersionOf(rows_, change.key);
+    if (has != change.replaces) {
+      return Rejected(change.key, has);
+    }
+    rows[change.key] = Row{change.value, offset};
+  }
+  const absl::StatusOr<Tables> joined = JoinRows(rows, offset);
+  if (!joined.ok()) {
+    return joined.status();
+  }
+  rows_ = std::move(rows);
+  version_ = offset;
+  return absl::OkStatus();
+}
+
+bool Fold::Adopt(const Rows& newer_rows,
+                 base::Offset version,
+                 base::Offset next) {
+  if (next <= next_) {
+    return false;
+  }
+  for (const auto& [key, row] : newer_rows) {
+    Row& mine = rows_[key];
+    if (row.version > mine.version) {
+      mine = row;
+    }
+  }
+  next_ = next;
+  const bool rose = version > version_;
+  version_ = std::max(version_, version);
+  return rose;
+}
+
+Rows Fold::ChangedSince(base::Offset version) const {
+  Rows changed;
+  for (const auto& [key, row] : rows_) {
+    if (row.version > version) {
+      changed[key] = row;
+    }
+  }
+  return changed;
+}
+
+ConfigRecord Fold::Snapshot() const {
+  ConfigRecord record;
+  record.is_snapshot = true;
+  record.version = version_;
+  record.through = next_ - base::Offset(1);
+  record.rows = rows_;
+  return record;
+}
+
+ConfigRecord MakeRecord(const Rows& rows, std::string_view text) {
+  ConfigRecord record;
+  Rows wanted = SplitTables(text);
+  for (auto& [key, row] : wanted) {
+    const auto old = rows.find(key);
+    const bool exists = old != rows.end() && !old->second.value.empty();
+    if (exists && key.starts_with("upstream/")) {
+      row.value = KeepDrained(old->second.value, row.value);
+    }
+    if (!exists || old->second.value != row.value) {
+      record.changes.push_back(Change{key, VersionOf(rows, key), row.value});
+    }
+  }
+  for (const auto& [key, row] : rows) {
+    const bool kept = wanted.contains(key) || key.starts_with("data_centre/");
+    if (!kept && !row.value.empty()) {
+      record.changes.push_back(Change{key, row.version, ""});
+    }
+  }
+  return record;
+}
+
+}  // namespace dandelion::config
--- /dev/null
+++ b/src/config/rows.cc
@@ -0,0 +1,305 @@
+#include "config/rows.h"
+
+#include <nlohmann/json.hpp>
+#include <set>
+#include <utility>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "http/server.h"
+
+namespace dandelion::config {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view kSchema = R"json({
+  "type": "object",
+  "required": ["routes", "pools"],
+  "additionalProperties": false,
+  "properties": {
+    "routes": {"type": "array", "items": {
+      "type": "object",
+      "required": ["name", "match", "pool"],
+      "additionalProperties": false,
+      "properties": {
+        "name": {"type": "string", "minLength": 1, "pattern": "^[^/]+$"},
+        "match": {"type": "object", "required": ["path"],
+          "additionalProperties": false, "properties": {
+            "path": {"type": "string", "pattern": "^/"},
+            "organisation": {"type": "string"},
+            "label": {"type": "string"}}},
+        "pool": {"type": "string", "minLength": 1},
+        "class": {"type": "string", "enum": ["short", "long"]},
+        "idempotent": {"type": "boolean"},
+        "deliver": {"type": "string", "enum": ["stream", "whole"]}}}},
+    "pools": {"type": "array", "items": {
+      "type": "object",
+      "required": ["name", "kind", "upstreams"],
+      "additionalProperties": false,
+      "properties": {
+        "name": {"type": "string", "minLength": 1, "pattern": "^[^/]+$"},
+        "kind": {"type": "string", "enum": ["engine", "service"]},
+        "upstreams": {"type": "array", "items": {
+          "type": "object",
+          "required": ["id", "address", "data_centre", "slots"],
+          "additionalProperties": false,
+          "properties": {
+            "id": {"type": "string", "minLength": 1, "pattern": "^[^/]+$"},
+            "address": {"type": "string"},
+            "data_centre": {"type": "string", "minLength": 1},
+            "slots": {"type": "integer", "minimum": 1},
+            "cold_slots": {"type": "integer", "minimum": 1},
+            "checks_fencing": {"type": "boolean"},
+            "drained": {"type": "boolean"}}}}}}}
+  }
+})json";
+
+constexpr std::string_view kRoute = "route/";
+constexpr std::string_view kPool = "pool/";
+constexpr std::string_view kUpstream = "upstream/";
+constexpr std::string_view kDataCentre = "data_centre/";
+
+std::string Key(std::string_view kind, std::string_view name) {
+  return absl::StrCat(absl::string_view(kind.data(), kind.size()),
+                      absl::string_view(name.data(), name.size()));
+}
+
+bool HasPrefix(const std::string& key, std::string_view kind) {
+  return key.compare(0, kind.size(), kind) == 0;
+}
+
+Route RouteFrom(const json& value) {
+  Route route;
+  const json& match = value.at("match");
+  route.name = base::RouteName(value.at("name"));
+  route.match.path = match.at("path");
+  route.match.organisation =
+      base::OrganisationId(match.value("organisation", ""));
+  route.match.label = match.value("label", "");
+  route.pool = base::PoolName(value.at("pool"));
+  route.request_class = value.value("class", "long");
+  route.idempotent = value.value("idempotent", true);
+  route.delivery = value.value("deliver", "stream") == "whole"
+                       ? Delivery::kWhole
+                       : Delivery::kStream;
+  return route;
+}
+
+Upstream UpstreamFrom(const json& value) {
+  Upstream upstream;
+  upstream.id = base::UpstreamId(value.at("id"));
+  upstream.pool = base::PoolName(value.at("pool"));
+  upstream.address = value.at("address");
+  upstream.data_centre = base::DataCentreId(value.at("data_centre"));
+  upstream.slots = base::Slots(value.at("slots"));
+  upstream.cold_slots = base::Slots(value.value("cold_slots", 1));
+  upstream.checks_fencing = value.value("checks_fencing", true);
+  upstream.drained = value.value("drained", false);
+  return upstream;
+}
+
+void CheckNames(const json& list,
+                const std::string& place,
+                const char* member,
+                std::set<std::string>* seen,
+                std::vector<Problem>* problems) {
+  for (size_t i = 0; i < list.size(); ++i) {
+    const std::string name = list[i].at(member);
+    if (!seen->insert(name).second) {
+      problems->push_back({absl::StrCat(place, "[", i, "].", member),
+                           absl::StrCat("\"", name, "\" is used twice"),
+                           "choose another"});
+    }
+  }
+}
+
+void CheckUpstream(const json& upstream,
+                   const std::string& place,
+                   std::vector<Problem>* problems) {
+  const std::string address = upstream.at("address");
+  boost::asio::ip::tcp::endpoint endpoint;
+  if (!http::ParseEndpoint(address, &endpoint)) {
+    problems->push_back({absl::StrCat(place, ".address"),
+                         absl::StrCat("\"", address, "\" is not IP:PORT"),
+                         "write an IP number and a port"});
+  }
+  const int64_t slots = upstream.at("slots");
+  if (upstream.value("cold_slots", int64_t{1}) > slots) {
+    problems->push_back({absl::StrCat(place, ".cold_slots"),
+                         "more slots cold than warm",
+                         "set cold_slots to at most slots"});
+  }
+}
+
+std::vector<Problem> CheckMeaning(const json& tables) {
+  std::vector<Problem> problems;
+  std::set<std::string> pools;
+  std::set<std::string> routes;
+  std::set<std::string> upstreams;
+  CheckNames(tables.at("routes"), "$.routes", "name", &routes, &problems);
+  CheckNames(tables.at("pools"), "$.pools", "name", &pools, &problems);
+  for (size_t i = 0; i < tables.at("routes").size(); ++i) {
+    const std::string pool = tables.at("routes")[i].at("pool");
+    if (!pools.contains(pool)) {
+      problems.push_back({absl::StrCat("$.routes[", i, "].pool"),
+                          absl::StrCat("no pool is named \"", pool, "\""),
+                          "add the pool or correct the name"});
+    }
+  }
+  for (size_t i = 0; i < tables.at("pools").size(); ++i) {
+    const json& list = tables.at("pools")[i].at("upstreams");
+    const std::string place = absl::StrCat("$.pools[", i, "].upstreams");
+    CheckNames(list, place, "id", &upstreams, &problems);
+    for (size_t j = 0; j < list.size(); ++j) {
+      CheckUpstream(list[j], absl::StrCat(place, "[", j, "]"), &problems);
+    }
+  }
+  return problems;
+}
+
+absl::Status Invalid(const std::string& row, std::string_view what) {
+  return base::MakeError(
+      base::ErrorKind::kInvalidTables,
+      absl::StrCat(row, ": ", absl::string_view(what.data(), what.size())),
+      "publish tables in which every name is defined");
+}
+
+absl::Status AddRow(const std::string& key, const json& value, Tables* tables) {
+  if (HasPrefix(key, kRoute)) {
+    tables->routes.push_back(RouteFrom(value));
+  } else if (HasPrefix(key, kPool)) {
+    tables->pools[base::PoolName(value.at("name"))] =
+        value.at("kind") == "engine" ? PoolKind::kEngine : PoolKind::kService;
+  } else if (HasPrefix(key, kUpstream)) {
+    Upstream upstream = UpstreamFrom(value);
+    boost::asio::ip::tcp::endpoint endpoint;
+    if (!http::ParseEndpoint(upstream.address, &endpoint) ||
+        upstream.cold_slots < base::Slots(1) ||
+        upstream.slots < upstream.cold_slots) {
+      return Invalid(key, "address or slots are out of range");
+    }
+    tables->upstreams[upstream.id] = std::move(upstream);
+  } else if (HasPrefix(key, kDataCentre)) {
+    if (!value.at("in_service").get<bool>()) {
+      tables->out_of_service.insert(
+          base::DataCentreId(key.substr(kDataCentre.size())));
+    }
+  } else {
+    return Invalid(key, "unknown kind of row");
+  }
+  return absl::OkStatus();
+}
+
+absl::Status CheckJoin(Tables* tables) {
+  for (const Route& route : tables->routes) {
+    if (!tables->pools.contains(route.pool)) {
+      return Invalid(Key(kRoute, route.name.value()), "its pool is missing");
+    }
+  }
+  for (auto& [id, upstream] : tables->upstreams) {
+    const auto pool = tables->pools.find(upstream.pool);
+    if (pool == tables->pools.end()) {
+      return Invalid(Key(kUpstream, id.value()), "its pool is missing");
+    }
+    upstream.kind = pool->second;
+    tables->members[upstream.pool].push_back(id);
+  }
+  return absl::OkStatus();
+}
+
+}  // namespace
+
+std::vector<Problem> CheckTables(std::string_view text) {
+  std::vector<Problem> problems = CheckAgainstSchema(text, kSchema);
+  if (!problems.empty()) {
+    return problems;
+  }
+  return CheckMeaning(json::parse(text));
+}
+
+Rows SplitTables(std::string_view text) {
+  const json tables = json::parse(text);
+  Rows rows;
+  for (const json& route : tables.at("routes")) {
+    rows[Key(kRoute, route.at("name").get<std::string>())].value = route.dump();
+  }
+  for (const json& pool : tables.at("pools")) {
+    const std::string name = pool.at("name");
+    rows[Key(kPool, name)].value =
+        json({{"name", name}, {"kind", pool.at("kind")}}).dump();
+    for (json upstream : pool.at("upstreams")) {
+      upstream["pool"] = name;
+      rows[Key(kUpstream, upstream.at("id").get<std::string>())].value =
+          upstream.dump();
+    }
+  }
+  return rows;
+}
+
+absl::StatusOr<Tables> JoinRows(const Rows& rows, base::Offset version) {
+  Tables tables;
+  tables.version = version;
+  for (const auto& [key, row] : rows) {
+    if (row.value.empty()) {
+      continue;
+    }
+    try {
+      const absl::Status added = AddRow(key, json::parse(row.value), &tables);
+      if (!added.ok()) {
+        return added;
+      }
+    } catch (const json::exception& error) {
+      return Invalid(key, error.what());
+    }
+  }
+  const absl::Status joined = CheckJoin(&tables);
+  if (!joined.ok()) {
+    return joined;
+  }
+  return tables;
+}
+
+std::string FormatTables(const Rows& rows, int indent) {
+  json routes = json::array();
+  std::map<std::string, json> pools;
+  for (const auto& [key, row] : rows) {
+    if (row.value.empty()) {
+      continue;
+    }
+    json value = json::parse(row.value);
+    if (HasPrefix(key, kRoute)) {
+      routes.push_back(std::move(value));
+    } else if (HasPrefix(key, kPool)) {
+      value["upstreams"] = json::array();
+      pools[value.at("name")] = std::move(value);
+    }
+  }
+  for (const auto& [key, row] : rows) {
+    if (!HasPrefix(key, kUpstream) || row.value.empty()) {
+      continue;
+    }
+    json value = json::parse(row.value);
+    const std::string pool = value.at("pool");
+    value.erase("pool");
+    pools[pool]["upstreams"].push_back(std::move(value));
+  }
+  json list = json::array();
+  for (auto& [name, pool] : pools) {
+    list.push_back(std::move(pool));
+  }
+  return json({{"routes", std::move(routes)}, {"pools", std::move(list)}})
+      .dump(indent);
+}
+
+std::string DataCentreValue(bool in_service) {
+  return json({{"in_service", in_service}}).dump();
+}
+
+std::string WithDrained(std::string_view upstream_value, bool drained) {
+  json value = json::parse(upstream_value);
+  value["drained"] = drained;
+  return value.dump();
+}
+
+}  // namespace dandelion::config
--- /dev/null
+++ b/src/entry/front.cc
@@ -0,0 +1,498 @@
+#include "entry/front.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <utility>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "telemetry/events.h"
+
+namespace dandelion::entry {
+namespace {
+
+using base::ErrorKind;
+using base::MakeError;
+using base::Millis;
+using base::Ran;
+using base::Task;
+using nlohmann::json;
+using relay::ResumePoint;
+using telemetry::Emit;
+using telemetry::Event;
+
+// A rough count; engines tokenize for themselves.
+constexpr size_t kBytesPerToken = 4;
+constexpr size_t kPrefixBytes = 1024;
+constexpr size_t kMostWholeBytes = 32UL * 1024 * 1024;
+
+std::string Dump(const json& value) {
+  return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+int StatusCodeOf(ErrorKind kind, Ran ran) {
+  switch (kind) {
+    case ErrorKind::kInvalidRequest:
+    case ErrorKind::kKeyRequired:
+      return 400;
+    case ErrorKind::kUnauthorised:
+      return 403;
+    case ErrorKind::kNoRoute:
+      return 404;
+    case ErrorKind::kInProgress:
+      return 409;
+    case ErrorKind::kGenerationLost:
+      return 410;
+    case ErrorKind::kTooLarge:
+      return 413;
+    case ErrorKind::kOverloaded:
+      return 429;
+    case ErrorKind::kTimeout:
+      return 504;
+    case ErrorKind::kConnectFailed:
+    case ErrorKind::kConnectionLost:
+    case ErrorKind::kBadAnswer:
+    case ErrorKind::kOutcomeUnknown:
+      return 502;
+    default:
+      return ran == Ran::kUnknown ? 502 : 503;
+  }
+}
+
+json ProblemOf(const absl::Status& status, Ran ran) {
+  return {{"type", "about:blank"},
+          {"title", std::string(status.message())},
+          {"kind", std::string(base::ToString(base::KindOf(status)))},
+          {"ran", std::string(base::ToString(ran))},
+          {"remedy", base::RemedyOf(status)}};
+}
+
+// The prompt of either completion call, as one text.
+std::string PromptOf(const json& body) {
+  if (body.contains("messages")) {
+    return Dump(body.at("messages"));
+  }
+  const json prompt = body.value("prompt", json(""));
+  return prompt.is_string() ? prompt.get<std::string>() : Dump(prompt);
+}
+
+std::string EventOf(const std::string& token_prefix,
+                    const upstream::Token& token) {
+  const json data = {{"choices", {{{"index", 0}, {"text", token.text}}}}};
+  return absl::StrCat("id: ", token_prefix, ":", token.index,
+                      "\ndata: ", Dump(data), "\n\n");
+}
+
+struct LastEvent {
+  std::string token;
+  int64_t index = 0;
+};
+
+std::optional<LastEvent> ParseLastEvent(std::string_view text) {
+  const size_t colon = text.rfind(':');
+  LastEvent event;
+  if (colon == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const std::string_view digits = text.substr(colon + 1);
+  if (!absl::SimpleAtoi(absl::string_view(digits.data(), digits.size()),
+                        &event.index) ||
+      event.index < 0) {
+    return std::nullopt;
+  }
+  event.token = std::string(text.substr(0, colon));
+  return event;
+}
+
+http::Response EventStreamHead(const base::RequestId& id) {
+  http::Response head;
+  head.headers.Add("Content-Type", "text/event-stream");
+  head.headers.Add("Cache-Control", "no-store");
+  head.headers.Add("X-Request-Id", id.value());
+  return head;
+}
+
+}  // namespace
+
+/// A caller's request after it was read and matched to a route.
+struct Front::Incoming {
+  routing::WorkRequest work;
+  config::PoolKind kind = config::PoolKind::kService;
+  std::string prompt;
+  base::Tokens max_tokens;
+  bool wants_stream = false;
+  Millis received;
+};
+
+Front::Front(base::Clock clock,
+             const kernel::Tuning& tuning,
+             const relay::ResumeTokens& tokens,
+             relay::GenerationRelay& generations,
+             relay::ServiceRelay& services,
+             routing::Dispatcher& dispatcher,
+             telemetry::Metrics& metrics,
+             Hooks hooks)
+    : clock_(std::move(clock)),
+      tuning_(tuning),
+      tokens_(tokens),
+      generations_(generations),
+      services_(services),
+      dispatcher_(dispatcher),
+      metrics_(metrics),
+      hooks_(std::move(hooks)) {}
+
+absl::StatusOr<Front::Incoming> Front::Read(
+    const http::Request& request) const {
+  const std::shared_ptr<const config::Tables> tables = hooks_.tables();
+  if (!tables) {
+    return MakeError(ErrorKind::kNotReady, "no tables are in force here yet",
+                     "retry, or publish tables");
+  }
+  Incoming incoming;
+  incoming.received = clock_.Now();
+  routing::WorkRequest& work = incoming.work;
+  work.organisation =
+      base::OrganisationId(std::string(request.headers.Find("X-Organisation")));
+  if (work.organisation.empty()) {
+    return MakeError(ErrorKind::kInvalidRequest, "no organisation is named",
+                     "send the X-Organisation header");
+  }
+  const config::Route* route = tables->FindRoute(
+      request.Path(), work.organisation, request.headers.Find("X-Label"));
+  if (route == nullptr) {
+    return MakeError(ErrorKind::kNoRoute,
+                     absl::StrCat("no route takes ", request.target),
+                     "check the path, or publish a route for it");
+  }
+  work.route = *route;
+  work.deadline = clock_.Now() + tuning_.request_timeout;
+  int64_t deadline_ms = 0;
+  const std::string_view timeout = request.headers.Find("X-Timeout-Ms");
+  if (absl::SimpleAtoi(absl::string_view(timeout.data(), timeout.size()),
+                       &deadline_ms) &&
+      deadline_ms > 0) {
+    work.deadline = std::min(work.deadline, clock_.Now() + Millis(deadline_ms));
+  }
+  incoming.kind = tables->pools.at(route->pool);
+  if (incoming.kind == config::PoolKind::kService ||
+      request.headers.Has("Last-Event-ID")) {
+    return incoming;
+  }
+  const json body = json::parse(request.body, nullptr, false);
+  if (!body.is_object()) {
+    return MakeError(ErrorKind::kInvalidRequest, "the body is no JSON object",
+                     "send a completion request as JSON");
+  }
+  try {
+    incoming.prompt = PromptOf(body);
+    incoming.max_tokens = base::Tokens(body.value("max_tokens", int64_t{0}));
+    incoming.wants_stream = body.value("stream", false);
+  } catch (const json::exception& error) {
+    return MakeError(ErrorKind::kInvalidRequest, error.what(),
+                     "see docs/API.md for the fields and their types");
+  }
+  work.prompt_tokens = std::max<int64_t>(
+      1, static_cast<int64_t>(incoming.prompt.size() / kBytesPerToken));
+  if (incoming.prompt.size() >= kPrefixBytes) {
+    work.prefix = XXH3_64bits(incoming.prompt.data(), kPrefixBytes);
+  }
+  return incoming;
+}
+
+Task<void> Front::Handle(http::Exchange& exchange) {
+  const http::Request& request = exchange.request();
+  base::RequestId id(std::string(request.headers.Find("X-Request-Id")));
+  constexpr size_t kMostIdBytes = 128;
+  if (id.empty() || id.value().size() > kMostIdBytes) {
+    id = base::RequestId(base::RandomName());
+  }
+  absl::StatusOr<Incoming> incoming = Read(request);
+  if (!incoming.ok()) {
+    co_await Refuse(exchange, id, incoming.status(), Ran::kNo, 0);
+    co_return;
+  }
+  incoming->work.id = id;
+  if (incoming->kind == config::PoolKind::kService) {
+    co_await Serve(exchange, *std::move(incoming));
+  } else if (request.headers.Has("Last-Event-ID")) {
+    co_await ResumeGeneration(exchange, *std::move(incoming));
+  } else {
+    co_await Generate(exchange, *std::move(incoming));
+  }
+}
+
+Task<void> Front::Generate(http::Exchange& exchange, Incoming incoming) {
+  if (incoming.wants_stream &&
+      incoming.work.route.delivery == config::Delivery::kStream) {
+    co_await StreamGeneration(exchange, std::move(incoming));
+  } else {
+    co_await WholeGeneration(exchange, std::move(incoming));
+  }
+}
+
+relay::GenerationCall Front::CallFrom(const Incoming& incoming) const {
+  relay::GenerationCall call;
+  call.work = incoming.work;
+  call.prompt = incoming.prompt;
+  call.max_tokens = incoming.max_tokens;
+  return call;
+}
+
+Task<void> Front::StreamGeneration(http::Exchange& exchange,
+                                   Incoming incoming) {
+  bool started = false;
+  std::string prefix;
+  const base::RequestId& id = incoming.work.id;
+  relay::TokenSink sink =
+      [&](const ResumePoint& point,
+          const std::vector<upstream::Token>& tokens) -> Task<absl::Status> {
+    if (!started) {
+      started = true;
+      prefix = tokens_.Seal(point);
+      const http::Response head = EventStreamHead(id);
+      absl::Status written = co_await exchange.StartStream(head);
+      if (!written.ok()) {
+        co_return written;
+      }
+    }
+    std::string events;
+    for (const upstream::Token& token : tokens) {
+      events += EventOf(prefix, token);
+    }
+    co_return co_await exchange.Write(events);
+  };
+  relay::GenerationCall call = CallFrom(incoming);
+  const relay::RelayResult result =
+      co_await generations_.Run(std::move(call), sink, [] {});
+  if (result.status.ok()) {
+    if (!started) {
+      const http::Response head = EventStreamHead(id);
+      co_await exchange.StartStream(head);
+    }
+    co_await exchange.Write("data: [DONE]\n\n");
+    co_await exchange.Finish();
+    NoteDone(incoming, result.tokens);
+  } else if (!started) {
+    co_await Refuse(exchange, id, result.status, result.ran,
+                    RetryAfter(result.status, incoming.work));
+  } else if (base::KindOf(result.status) != ErrorKind::kConnectionLost) {
+    const json problem = ProblemOf(result.status, result.ran);
+    const std::string event =
+        absl::StrCat("event: error\ndata: ", Dump(problem), "\n\n");
+    co_await exchange.Write(event);
+    co_await exchange.Finish();
+    Emit(Event::kGenerationLost,
+         {{"request", id.value()},
+          {"organisation", incoming.work.organisation.value()}});
+  }
+}
+
+Task<void> Front::WholeGeneration(http::Exchange& exchange, Incoming incoming) {
+  std::string text;
+  bool too_large = false;
+  relay::TokenSink sink =
+      [&](const ResumePoint&,
+          const std::vector<upstream::Token>& tokens) -> Task<absl::Status> {
+    for (const upstream::Token& token : tokens) {
+      text += token.text;
+    }
+    too_large = text.size() > kMostWholeBytes;
+    co_return too_large
+        ? MakeError(ErrorKind::kTooLarge, "the answer exceeds its limit",
+                    "ask for the answer as a stream")
+        : absl::OkStatus();
+  };
+  relay::GenerationCall call = CallFrom(incoming);
+  call.restartable = true;
+  const relay::RelayResult result = co_await generations_.Run(
+      std::move(call), sink, [&text] { text.clear(); });
+  const base::RequestId& id = incoming.work.id;
+  if (!result.status.ok()) {
+    const absl::Status status =
+        too_large
+            ? MakeError(ErrorKind::kTooLarge, "the answer exceeds its limit",
+                        "ask for the answer as a stream")
+            : result.status;
+    co_await Refuse(exchange, id, status, result.ran,
+                    RetryAfter(status, incoming.work));
+    co_return;
+  }
+  const json body = {
+      {"id", id.value()},
+      {"object", "text_completion"},
+      {"choices", {{{"index", 0}, {"text", text}, {"finish_reason", "stop"}}}},
+      {"usage",
+       {{"prompt_tokens", incoming.work.prompt_tokens},
+        {"completion_tokens", result.tokens}}}};
+  if (incoming.wants_stream) {
+    // The caller asked for events, its route for a whole answer.
+    const http::Response head = EventStreamHead(id);
+    co_await exchange.StartStream(head);
+    const std::string event =
+        absl::StrCat("data: ", Dump(body), "\n\ndata: [DONE]\n\n");
+    co_await exchange.Write(event);
+    co_await exchange.Finish();
+  } else {
+    http::Response response = http::JsonResponse(200, Dump(body));
+    response.headers.Add("X-Request-Id", id.value());
+    co_await exchange.Respond(std::move(response));
+  }
+  NoteDone(incoming, result.tokens);
+}
+
+Task<void> Front::ResumeGeneration(http::Exchange& exchange,
+                                   Incoming incoming) {
+  const base::RequestId& id = incoming.work.id;
+  const std::optional<LastEvent> last =
+      ParseLastEvent(exchange.request().headers.Find("Last-Event-ID"));
+  absl::StatusOr<ResumePoint> point =
+      last ? tokens_.Open(last->token)
+           : MakeError(ErrorKind::kUnauthorised,
+                       "the Last-Event-ID header is malformed",
+                       "send the id of the last event that was received");
+  if (point.ok() && point->organisation != incoming.work.organisation) {
+    point = MakeError(ErrorKind::kUnauthorised,
+                      "the stream belongs to another organisation",
+                      "resume with the organisation that started it");
+  }
+  if (!point.ok()) {
+    co_await Refuse(exchange, id, point.status(), Ran::kNo, 0);
+    co_return;
+  }
+  bool started = false;
+  relay::TokenSink sink =
+      [&](const ResumePoint&,
+          const std::vector<upstream::Token>& tokens) -> Task<absl::Status> {
+    if (!started) {
+      started = true;
+      const http::Response head = EventStreamHead(id);
+      absl::Status written = co_await exchange.StartStream(head);
+      if (!written.ok()) {
+        co_return written;
+      }
+    }
+    std::string events;
+    for (const upstream::Token& token : tokens) {
+      events += EventOf(last->token, token);
+    }
+    co_return co_await exchange.Write(events);
+  };
+  const relay::RelayResult result = co_await generations_.Resume(
+      incoming.work, *std::move(point), last->index + 1, sink);
+  if (result.status.ok()) {
+    if (!started) {
+      const http::Response head = EventStreamHead(id);
+      co_await exchange.StartStream(head);
+    }
+    co_await exchange.Write("data: [DONE]\n\n");
+    co_await exchange.Finish();
+    NoteDone(incoming, result.tokens);
+  } else if (!started) {
+    co_await Refuse(exchange, id, result.status, result.ran, 0);
+  } else {
+    const json problem = ProblemOf(result.status, result.ran);
+    const std::string event =
+        absl::StrCat("event: error\ndata: ", Dump(problem), "\n\n");
+    co_await exchange.Write(event);
+    co_await exchange.Finish();
+  }
+}
+
+Task<void> Front::Serve(http::Exchange& exchange, Incoming incoming) {
+  const http::Request& request = exchange.request();
+  relay::ServiceCall call;
+  call.work = incoming.work;
+  call.method = request.method;
+  call.target = request.target;
+  call.content_type = std::string(request.headers.Find("Content-Type"));
+  call.body = request.body;
+  call.key = std::string(request.headers.Find("Idempotency-Key"));
+  relay::ServiceResult result = co_await services_.Run(std::move(call));
+  const base::RequestId& id = incoming.work.id;
+  if (!result.response.ok()) {
+    co_await Refuse(exchange, id, result.response.status(), result.ran,
+                    RetryAfter(result.response.status(), incoming.work));
+    co_return;
+  }
+  http::Response response;
+  response.status = result.response->status;
+  for (const http::Header& line : result.response->headers.lines()) {
+    // Framing belongs to each connection alone.
+    static constexpr std::array<std::string_view, 4> kOwn = {
+        "connection", "transfer-encoding", "content-length", "keep-alive"};
+    std::string name = line.name;
+    std::transform(name.begin(), name.end(), name.begin(),
+                   [](unsigned char c) { return std::tolower(c); });
+    const bool own = std::find(kOwn.begin(), kOwn.end(), name) != kOwn.end() ||
+                     name == "x-request-id" || name == "x-ran";
+    if (!own) {
+      response.headers.Add(line.name, line.value);
+    }
+  }
+  response.headers.Add("X-Request-Id", id.value());
+  response.headers.Add("X-Ran", std::string(base::ToString(result.ran)));
+  if (result.replayed) {
+    response.headers.Add("Idempotent-Replayed", "true");
+  }
+  response.body = std::move(result.response->body);
+  co_await exchange.Respond(std::move(response));
+  NoteDone(incoming, 0);
+}
+
+Task<void> Front::Refuse(http::Exchange& exchange,
+                         const base::RequestId& id,
+                         absl::Status status,
+                         Ran ran,
+                         int64_t retry_after_s) {
+  const ErrorKind kind = base::KindOf(status);
+  const std::string name(base::ToString(kind));
+  metrics_.AddRefusal(name);
+  Emit(ran == Ran::kNo ? Event::kRequestRefused : Event::kRequestFailed,
+       {{"request", id.value()},
+        {"organisation",
+         std::string(exchange.request().headers.Find("X-Organisation"))},
+        {"kind", name},
+        {"ran", std::string(base::ToString(ran))},
+        {"reason", std::string(status.message())}});
+  dispatcher_.explanations().Note(
+      id, absl::StrCat("ended: ", name, ": ", status.message()));
+  http::Response response;
+  response.status = StatusCodeOf(kind, ran);
+  response.headers.Add("Content-Type", "application/problem+json");
+  response.headers.Add("X-Request-Id", id.value());
+  if (retry_after_s > 0) {
+    response.headers.Add("Retry-After", absl::StrCat(retry_after_s));
+  }
+  response.body = Dump(ProblemOf(status, ran));
+  co_await exchange.Respond(std::move(response));
+}
+
+int64_t Front::RetryAfter(const absl::Status& status,
+                          const routing::WorkRequest& work) const {
+  switch (base::KindOf(status)) {
+    case ErrorKind::kOverloaded:
+    case ErrorKind::kNoUpstream:
+    case ErrorKind::kClaimUnavailable:
+    case ErrorKind::kInProgress:
+      return dispatcher_.RetryAfterSeconds(work);
+    default:
+      return 0;
+  }
+}
+
+void Front::NoteDone(const Incoming& incoming, int64_t tokens) {
+  const routing::WorkRequest& work = incoming.work;
+  dispatcher_.explanations().Note(
+      work.id, absl::StrCat("ended: whole answer, ", tokens, " tokens"));
+  Emit(Event::kRequestDone,
+       {{"request", work.id.value()},
+        {"organisation", work.organisation.value()},
+        {"route", work.route.name.value()},
+        {"tokens", absl::StrCat(tokens)},
+        {"ms", absl::StrCat((clock_.Now() - incoming.received).count())}});
+}
+
+}  // namespace dandelion::entry
--- /dev/null
+++ b/src/http/server.cc
@@ -0,0 +1,413 @@
+#include "http/server.h"
+
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <charconv>
+#include <chrono>
+#include <map>
+#include <set>
+#include <utility>
+
+#include "absl/cleanup/cleanup.h"
+#include "base/error.h"
+
+namespace dandelion::http {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+using asio::ip::tcp;
+using base::ErrorKind;
+using base::kNoThrow;
+using base::Millis;
+using base::Task;
+
+absl::Status CallerGone(const boost::system::error_code& error) {
+  return base::MakeError(ErrorKind::kConnectionLost, error.message(),
+                         "the caller left; it may resume its stream");
+}
+
+Response Refusal(int status, std::string_view kind, std::string_view remedy) {
+  std::string body = "{\"kind\":\"";
+  body.append(kind).append("\",\"ran\":\"no\",\"remedy\":\"");
+  body.append(remedy).append("\"}");
+  Response response;
+  response.status = status;
+  response.headers.Add("Content-Type", "application/problem+json");
+  response.body = std::move(body);
+  return response;
+}
+
+Response RefusalFor(const boost::system::error_code& error) {
+  if (error == bhttp::error::header_limit) {
+    return Refusal(431, "header_too_large", "send smaller headers");
+  }
+  if (error == bhttp::error::body_limit) {
+    return Refusal(413, "body_too_large", "send a smaller body");
+  }
+  if (error == beast::error::timeout) {
+    return Refusal(408, "request_timeout", "send the request without pauses");
+  }
+  return Refusal(400, "malformed_request", "send a valid HTTP/1.1 request");
+}
+
+/// One accepted connection.
+class Session : public Exchange {
+ public:
+  Session(tcp::socket socket, const ServerLimits& limits)
+      : limits_(limits), stream_(std::move(socket)) {}
+
+  const Request& request() const override { return request_; }
+
+  Task<absl::Status> Respond(Response response) override {
+    bhttp::response<bhttp::string_body> message(
+        static_cast<bhttp::status>(response.status), 11);
+    for (const Header& line : response.headers.lines()) {
+      message.insert(line.name, line.value);
+    }
+    message.keep_alive(keep_alive_);
+    message.body() = std::move(response.body);
+    message.prepare_payload();
+    answered_ = true;
+    Arm(limits_.write_timeout);
+    const auto [error, size] =
+        co_await bhttp::async_write(stream_, message, kNoThrow);
+    co_return Note(error);
+  }
+
+  Task<absl::Status> StartStream(Response head) override {
+    bhttp::response<bhttp::empty_body> message(
+        static_cast<bhttp::status>(head.status), 11);
+    for (const Header& line : head.headers.lines()) {
+      message.insert(line.name, line.value);
+    }
+    message.keep_alive(keep_alive_);
+    message.chunked(true);
+    bhttp::response_serializer<bhttp::empty_body> serializer(message);
+    answered_ = true;
+    Arm(limits_.write_timeout);
+    const auto [error, size] =
+        co_await bhttp::async_write_header(stream_, serializer, kNoThrow);
+    co_return Note(error);
+  }
+
+  Task<absl::Status> Write(std::string_view chunk) override {
+    Arm(limits_.write_timeout);
+    const auto body =
+        bhttp::make_chunk(asio::const_buffer(chunk.data(), chunk.size()));
+    const auto [error, size] =
+        co_await asio::async_write(stream_, body, kNoThrow);
+    co_return Note(error);
+  }
+
+  Task<absl::Status> Finish() override {
+    Arm(limits_.write_timeout);
+    const auto last = bhttp::make_chunk_last();
+    const auto [error, size] =
+        co_await asio::async_write(stream_, last, kNoThrow);
+    co_return Note(error);
+  }
+
+  void Abort() override {
+    broken_ = true;
+    stream_.close();
+  }
+
+  void FallSilent() override { silent_ = true; }
+
+  Task<void> Run(const Handler& handler, const bool& closing) {
+    beast::flat_buffer buffer;
+    while (!broken_) {
+      bhttp::request_parser<bhttp::string_body> parser;
+      parser.header_limit(static_cast<uint32_t>(limits_.header_bytes));
+      parser.body_limit(limits_.body_bytes);
+      const bool complete = co_await ReadRequest(buffer, parser);
+      if (!complete) {
+        break;
+      }
+      busy_ = true;
+      keep_alive_ = parser.get().keep_alive() && !closing;
+      Load(parser.release());
+      co_await handler(*this);
+      busy_ = false;
+      if (silent_) {
+        co_await Hold();
+      }
+      if (!keep_alive_ || !answered_) {
+        break;
+      }
+    }
+    boost::system::error_code ignored;
+    stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
+  }
+
+  bool busy() const { return busy_; }
+  void CloseNow() { stream_.close(); }
+
+ private:
+  Task<bool> ReadRequest(beast::flat_buffer& buffer,
+                         bhttp::request_parser<bhttp::string_body>& parser) {
+    if (buffer.size() == 0) {
+      Arm(limits_.idle_timeout);
+      const auto [idle_error] = co_await stream_.socket().async_wait(
+          tcp::socket::wait_read, kNoThrow);
+      if (idle_error) {
+        co_return false;
+      }
+    }
+    Arm(limits_.header_timeout);
+    auto [error, size] =
+        co_await bhttp::async_read_header(stream_, buffer, parser, kNoThrow);
+    if (!error) {
+      busy_ = true;
+      Arm(limits_.body_timeout);
+      std::tie(error, size) =
+          co_await bhttp::async_read(stream_, buffer, parser, kNoThrow);
+    }
+    if (!error) {
+      co_return true;
+    }
+    if (error != bhttp::error::end_of_stream && error != asio::error::eof &&
+        error != asio::error::operation_aborted &&
+        error != asio::error::connection_reset) {
+      keep_alive_ = false;
+      co_await Respond(RefusalFor(error));
+    }
+    co_return false;
+  }
+
+  void Load(bhttp::request<bhttp::string_body> message) {
+    request_ = Request();
+    request_.method = std::string(message.method_string());
+    request_.target = std::string(message.target());
+    for (const auto& field : message) {
+      request_.headers.Add(std::string(field.name_string()),
+                           std::string(field.value()));
+    }
+    request_.body = std::move(message.body());
+    answered_ = false;
+  }
+
+  Task<void> Hold() {
+    stream_.expires_never();
+    asio::steady_timer forever(stream_.get_executor());
+    forever.expires_at(std::chrono::steady_clock::time_point::max());
+    co_await forever.async_wait(kNoThrow);
+  }
+
+  absl::Status Note(const boost::system::error_code& error) {
+    if (!error) {
+      return absl::OkStatus();
+    }
+    broken_ = true;
+    return CallerGone(error);
+  }
+
+  void Arm(Millis timeout) {
+    stream_.expires_after(std::chrono::milliseconds(timeout.count()));
+  }
+
+  const ServerLimits& limits_;
+  beast::tcp_stream stream_;
+  Request request_;
+  bool keep_alive_ = true;
+  bool answered_ = false;
+  bool busy_ = false;
+  bool broken_ = false;
+  bool silent_ = false;
+};
+
+}  // namespace
+
+class Server::Impl : public std::enable_shared_from_this<Server::Impl> {
+ public:
+  Impl(base::Executor executor, ServerLimits limits, Handler handler)
+      : executor_(executor),
+        limits_(limits),
+        handler_(std::move(handler)),
+        acceptor_(executor) {}
+
+  absl::Status Listen(const tcp::endpoint& endpoint) {
+    boost::system::error_code error;
+    acceptor_.open(endpoint.protocol(), error);
+    if (!error) {
+      acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+    }
+    if (!error) {
+      acceptor_.bind(endpoint, error);
+    }
+    if (!error) {
+      acceptor_.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+      return base::MakeError(
+          ErrorKind::kInvalidSettings,
+          "cannot listen at " + endpoint.address().to_string() + ":" +
+              std::to_string(endpoint.port()) + ": " + error.message(),
+          "choose a free address in the settings");
+    }
+    port_ = acceptor_.local_endpoint().port();
+    base::Spawn(executor_, Accept(shared_from_this()));
+    return absl::OkStatus();
+  }
+
+  void StopAccepting() {
+    if (!acceptor_.is_open()) {
+      return;
+    }
+    // Connections that wait in the backlog would be reset by the close.
+    boost::system::error_code error;
+    acceptor_.non_blocking(true, error);
+    while (!error) {
+      tcp::socket socket(executor_);
+      acceptor_.accept(socket, error);
+      if (!error) {
+        Start(std::move(socket));
+      }
+    }
+    acceptor_.close(error);
+  }
+
+  void CloseIdle() {
+    for (Session* session : sessions_) {
+      if (!session->busy()) {
+        session->CloseNow();
+      }
+    }
+  }
+
+  void CloseAll() {
+    for (Session* session : sessions_) {
+      session->CloseNow();
+    }
+  }
+
+  size_t in_flight() const {
+    size_t count = 0;
+    for (const Session* session : sessions_) {
+      count += session->busy() ? 1 : 0;
+    }
+    return count;
+  }
+
+  size_t connections() const { return sessions_.size(); }
+  unsigned short port() const { return port_; }
+  void AnnounceClose() { closing_ = true; }
+
+ private:
+  // The frames below own `self`, so that a connection outlives the server
+  // object until it has been closed.
+  static Task<void> Accept(std::shared_ptr<Impl> self) {
+    while (self->acceptor_.is_open()) {
+      auto [error, socket] = co_await self->acceptor_.async_accept(kNoThrow);
+      if (error == asio::error::operation_aborted) {
+        co_return;
+      }
+      if (error) {
+        // Out of descriptors: leave room for running exchanges to end.
+        co_await base::Delay(Millis(10));
+        continue;
+      }
+      self->Start(std::move(socket));
+    }
+  }
+
+  void Start(tcp::socket socket) {
+    boost::system::error_code error;
+    const tcp::endpoint remote = socket.remote_endpoint(error);
+    if (error) {
+      return;
+    }
+    socket.set_option(tcp::no_delay(true), error);
+    base::Spawn(executor_,
+                Run(shared_from_this(), std::move(socket), remote.address()));
+  }
+
+  static Task<void> Run(std::shared_ptr<Impl> self,
+                        tcp::socket socket,
+                        asio::ip::address remote) {
+    Session session(std::move(socket), self->limits_);
+    size_t& from_remote = self->per_address_[remote];
+    if (self->sessions_.size() >= self->limits_.connections ||
+        from_remote >= self->limits_.connections_per_address) {
+      co_await session.Respond(Refusal(503, "too_many_connections",
+                                       "close idle connections and retry"));
+      co_return;
+    }
+    ++from_remote;
+    self->sessions_.insert(&session);
+    const absl::Cleanup leave = [&self, &session, &remote] {
+      self->sessions_.erase(&session);
+      const auto entry = self->per_address_.find(remote);
+      if (--entry->second == 0) {
+        self->per_address_.erase(entry);
+      }
+    };
+    co_await session.Run(self->handler_, self->closing_);
+  }
+
+  base::Executor executor_;
+  ServerLimits limits_;
+  Handler handler_;
+  tcp::acceptor acceptor_;
+  std::set<Session*> sessions_;
+  std::map<asio::ip::address, size_t> per_address_;
+  unsigned short port_ = 0;
+  bool closing_ = false;
+};
+
+Server::Server(base::Executor executor, ServerLimits limits, Handler handler)
+    : impl_(std::make_shared<Impl>(std::move(executor),
+                                   limits,
+                                   std::move(handler))) {}
+Server::~Server() {
+  impl_->StopAccepting();
+  impl_->CloseAll();
+}
+absl::Status Server::Listen(const tcp::endpoint& endpoint) {
+  return impl_->Listen(endpoint);
+}
+unsigned short Server::port() const {
+  return impl_->port();
+}
+void Server::AnnounceClose() {
+  impl_->AnnounceClose();
+}
+void Server::StopAccepting() {
+  impl_->StopAccepting();
+}
+void Server::CloseIdle() {
+  impl_->CloseIdle();
+}
+void Server::CloseAll() {
+  impl_->CloseAll();
+}
+size_t Server::in_flight() const {
+  return impl_->in_flight();
+}
+size_t Server::connections() const {
+  return impl_->connections();
+}
+
+bool ParseEndpoint(std::string_view text, tcp::endpoint* endpoint) {
+  const size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos) {
+    return false;
+  }
+  boost::system::error_code error;
+  const asio::ip::address address =
+      asio::ip::make_address(std::string(text.substr(0, colon)), error);
+  const std::string_view digits = text.substr(colon + 1);
+  unsigned short port = 0;
+  const auto parsed =
+      std::from_chars(digits.data(), digits.data() + digits.size(), port);
+  if (error || digits.empty() || parsed.ec != std::errc() ||
+      parsed.ptr != digits.data() + digits.size()) {
+    return false;
+  }
+  *endpoint = tcp::endpoint(address, port);
+  return true;
+}
+
+}  // namespace dandelion::http
--- /dev/null
+++ b/src/kernel/daemon.cc
@@ -0,0 +1,537 @@
+#include "kernel/daemon.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "admission/slot_service.h"
+#include "base/error.h"
+#include "claims/claim_service.h"
+#include "config/config_service.h"
+#include "entry/admin.h"
+#include "entry/front.h"
+#include "http/client.h"
+#include "http/server.h"
+#include "kernel/registry.h"
+#include "membership/membership.h"
+#include "membership/transport.h"
+#include "platform/log.h"
+#include "relay/generation_relay.h"
+#include "relay/resume_token.h"
+#include "relay/service_relay.h"
+#include "routing/dispatcher.h"
+#include "telemetry/events.h"
+#include "telemetry/metrics.h"
+#include "upstream/engine_client.h"
+
+namespace dandelion::kernel {
+namespace {
+
+using base::HostId;
+using base::Millis;
+using base::Task;
+using nlohmann::json;
+using telemetry::Count;
+using telemetry::Emit;
+using telemetry::Event;
+
+std::vector<membership::Member> MembersOf(const Settings& settings) {
+  std::vector<membership::Member> members;
+  for (const PeerSettings& peer : settings.peers) {
+    members.push_back({peer.id, peer.data_centre});
+  }
+  return members;
+}
+
+http::ServerLimits LimitsOf(const Tuning& tuning) {
+  http::ServerLimits limits;
+  limits.header_bytes = tuning.header_bytes;
+  limits.body_bytes = tuning.body_bytes;
+  limits.connections = tuning.connections;
+  limits.connections_per_address = tuning.connections_per_address;
+  return limits;
+}
+
+}  // namespace
+
+class Daemon::Impl {
+ public:
+  Impl(base::Executor executor, Settings settings)
+      : executor_(executor),
+        settings_(std::move(settings)),
+        clock_(base::Clock::Monotonic()),
+        incarnation_(base::RandomName()),
+        metrics_(settings_.tuning.metric_organisations),
+        log_(platform::MakeHttpLog(client_, settings_.platform)),
+        host_list_(platform::MakeHttpHostList(client_, settings_.platform)),
+        config_(executor, clock_, *log_, ConfigHooks()),
+        membership_({settings_.id, settings_.data_centre},
+                    incarnation_,
+                    MembersOf(settings_),
+                    clock_,
+                    MembershipHooks()),
+        engines_(client_, settings_.id),
+        slots_(executor, clock_, membership_, SlotHooks()),
+        dispatcher_(executor,
+                    clock_,
+                    slots_.holder(),
+                    membership_,
+                    settings_.tuning.queue_per_organisation,
+                    {[this] { slots_.Hurry(); }}),
+        claims_(executor,
+                clock_,
+                settings_.id,
+                incarnation_,
+                *log_,
+                ClaimHooks()),
+        tokens_(settings_.keys.resume),
+        generations_(clock_, settings_.tuning, dispatcher_, engines_, metrics_),
+        services_(clock_, dispatcher_, client_, claims_, metrics_),
+        front_(clock_,
+               settings_.tuning,
+               tokens_,
+               generations_,
+               services_,
+               dispatcher_,
+               metrics_,
+               {[this] { return config_.tables(); }}),
+        admin_(settings_.keys.operator_token, AdminHooks()),
+        entry_server_(executor,
+                      LimitsOf(settings_.tuning),
+                      [this](http::Exchange& exchange) {
+                        return front_.Handle(exchange);
+                      }),
+        admin_server_(executor,
+                      http::ServerLimits(),
+                      [this](http::Exchange& exchange) {
+                        return admin_.Handle(exchange);
+                      }) {
+    AddServices();
+  }
+
+  absl::Status Start() {
+    Emit(Event::kDaemonStarted, {{"host", settings_.id.value()},
+                                 {"data_centre", settings_.data_centre.value()},
+                                 {"incarnation", incarnation_.value()}});
+    return registry_.Start();
+  }
+
+  void Stop() { registry_.Stop(); }
+
+  Task<bool> Drain() {
+    const Tuning& tuning = settings_.tuning;
+    draining_ = true;
+    membership_.SetDraining();
+    entry_server_.AnnounceClose();
+    Emit(Event::kDrainStarted,
+         {{"in_flight", absl::StrCat(entry_server_.in_flight())}});
+    const Millis give_up = clock_.Now() + tuning.drain_timeout;
+    // The balancer needs time to see that readiness has failed.
+    co_await base::Delay(tuning.drain_notice);
+    entry_server_.StopAccepting();
+    Millis quiet_since = clock_.Now();
+    while (clock_.Now() - quiet_since < kQuietBeforeStop) {
+      if (clock_.Now() >= give_up) {
+        Emit(Event::kDrainTimedOut,
+             {{"cut", absl::StrCat(entry_server_.in_flight())}});
+        co_return false;
+      }
+      co_await base::Delay(kDrainCheck);
+      const bool quiet = entry_server_.in_flight() == 0 && claims_.Settled();
+      if (!quiet) {
+        quiet_since = clock_.Now();
+      } else if (entry_server_.connections() == 0) {
+        break;
+      }
+    }
+    Emit(Event::kDrainFinished);
+    co_return true;
+  }
+
+ private:
+  static constexpr Millis kQuietBeforeStop{500};
+  static constexpr Millis kDrainCheck{20};
+  static constexpr Millis kHostListInterval{1000};
+
+  void AddServices() {
+    registry_.Add(
+        "transport", &transport_,
+        {[this] { return OpenPeers(); }, [this] { transport_.reset(); }});
+    registry_.Add("membership", &membership_,
+                  {Spawning([this] { return Beat(); }), nullptr});
+    registry_.Add("config", &config_,
+                  {Starting(config_), [this] { config_.Stop(); }});
+    registry_.Add("host_list", host_list_.get(),
+                  {Spawning([this] { return FollowHostList(); }), nullptr});
+    registry_.Add("slots", &slots_,
+                  {Starting(slots_), [this] { slots_.Stop(); }});
+    registry_.Add("claims", &claims_,
+                  {Starting(claims_), [this] { claims_.Stop(); }});
+    registry_.Add("admin", &admin_server_,
+                  {[this] { return admin_server_.Listen(settings_.admin); },
+                   [this] { admin_server_.StopAccepting(); }});
+    registry_.Add("entry", &entry_server_,
+                  {[this] { return entry_server_.Listen(settings_.listen); },
+                   [this] { entry_server_.StopAccepting(); }});
+  }
+
+  template <typename Service>
+  static std::function<absl::Status()> Starting(Service& service) {
+    return [&service] {
+      service.Start();
+      return absl::OkStatus();
+    };
+  }
+
+  std::function<absl::Status()> Spawning(std::function<Task<void>()> task) {
+    return [this, task] {
+      base::Spawn(executor_, task());
+      return absl::OkStatus();
+    };
+  }
+
+  absl::Status OpenPeers() {
+    std::vector<membership::PeerAddress> peers;
+    for (const PeerSettings& peer : settings_.peers) {
+      peers.push_back({peer.id, peer.address});
+    }
+    absl::StatusOr<std::unique_ptr<membership::ZmqTransport>> transport =
+        membership::ZmqTransport::Make(
+            executor_, settings_.peer_address, peers,
+            {settings_.keys.peer_public, settings_.keys.peer_secret},
+            [this](const proto::Envelope& message) { Receive(message); });
+    if (!transport.ok()) {
+      return transport.status();
+    }
+    transport_ = *std::move(transport);
+    return absl::OkStatus();
+  }
+
+  void Send(const HostId& to, proto::Envelope message) {
+    if (transport_) {
+      message.set_from(settings_.id.value());
+      message.set_incarnation(incarnation_.value());
+      transport_->Send(to, message);
+    }
+  }
+
+  void Receive(const proto::Envelope& message) {
+    const HostId from(message.from());
+    switch (message.body_case()) {
+      case proto::Envelope::kHeartbeat:
+        membership_.OnHeartbeat(from, base::Incarnation(message.incarnation()),
+                                message.heartbeat());
+        break;
+      case proto::Envelope::kSlotRequest:
+        slots_.OnRequest(from, message.slot_request());
+        break;
+      case proto::Envelope::kSlotAnswer:
+        slots_.OnAnswer(from, message.slot_answer());
+        break;
+      case proto::Envelope::kConfigPull:
+        Send(from, config_.OnPull(message.config_pull()));
+        break;
+      case proto::Envelope::kConfigRows:
+        config_.OnRows(message.config_rows());
+        break;
+      case proto::Envelope::kClaimQuestion:
+        claims_.OnQuestion(from, message.claim_question());
+        break;
+      case proto::Envelope::kClaimReply:
+        claims_.OnReply(message.claim_reply());
+        break;
+      case proto::Envelope::BODY_NOT_SET:
+        break;
+    }
+  }
+
+  config::ConfigService::Hooks ConfigHooks() {
+    config::ConfigService::Hooks hooks;
+    hooks.send = [this](const HostId& to, const proto::Envelope& message) {
+      Send(to, message);
+    };
+    hooks.reader_rank = [this] { return ReaderRank(); };
+    hooks.on_install = [this](std::shared_ptr<const config::Tables> tables) {
+      const bool first = !ready_reported_;
+      ready_reported_ = true;
+      metrics_.SetConfigVersion(tables->version);
+      slots_.OnTables(tables);
+      dispatcher_.OnTables(tables);
+      if (first) {
+        Emit(Event::kDaemonReady,
+             {{"version", absl::StrCat(tables->version.count())}});
+      }
+    };
+    return hooks;
+  }
+
+  // This daemon's place among those of its data centre that answer.
+  int ReaderRank() const {
+    const std::string_view own = settings_.data_centre.value();
+    const uint64_t mine =
+        membership::RendezvousWeight(own, settings_.id.value());
+    int rank = 0;
+    for (const PeerSettings& peer : settings_.peers) {
+      if (peer.data_centre == settings_.data_centre &&
+          membership_.IsUp(peer.id) &&
+          membership::RendezvousWeight(own, peer.id.value()) > mine) {
+        ++rank;
+      }
+    }
+    return rank;
+  }
+
+  membership::Membership::Hooks MembershipHooks() {
+    membership::Membership::Hooks hooks;
+    hooks.send = [this](const HostId& to, const proto::Envelope& message) {
+      Send(to, message);
+    };
+    hooks.on_change = [](const HostId& host, bool up) {
+      Emit(up ? Event::kPeerUp : Event::kPeerDown, {{"host", host.value()}});
+    };
+    hooks.config_version = [this] { return config_.version(); };
+    hooks.on_newer_config = [this](const HostId& host) {
+      config_.PullFrom(host);
+    };
+    return hooks;
+  }
+
+  admission::SlotService::Hooks SlotHooks() {
+    admission::SlotService::Hooks hooks;
+    hooks.send = [this](const HostId& to, const proto::Envelope& message) {
+      Send(to, message);
+    };
+    hooks.poll = [this](const config::Upstream& upstream)
+        -> Task<absl::StatusOr<admission::UpstreamReport>> {
+      Endpoint endpoint;
+      http::ParseEndpoint(upstream.address, &endpoint);
+      co_return co_await engines_.Load(endpoint);
+    };
+    hooks.on_grants = [this] { dispatcher_.Pump(); };
+    hooks.queued = [this](const config::Upstream& upstream) {
+      return dispatcher_.QueuedFor(upstream);
+    };
+    hooks.occupancy = [this](const base::UpstreamId& upstream) {
+      return dispatcher_.OccupancyOn(upstream);
+    };
+    hooks.wants_remote = [this](const config::Upstream& upstream) {
+      return dispatcher_.WantsRemote(upstream);
+    };
+    return hooks;
+  }
+
+  claims::ClaimService::Hooks ClaimHooks() {
+    claims::ClaimService::Hooks hooks;
+    hooks.send = [this](const HostId& to, const proto::Envelope& message) {
+      Send(to, message);
+    };
+    hooks.is_up = [this](const HostId& host) { return membership_.IsUp(host); };
+    hooks.on_log_use = [this](bool append) {
+      metrics_.Add(append ? Count::kLogAppends : Count::kLogReads);
+    };
+    return hooks;
+  }
+
+  entry::Admin::Hooks AdminHooks() {
+    entry::Admin::Hooks hooks;
+    hooks.readiness = [this] { return Ready(); };
+    hooks.status = [this] { return Status(); };
+    hooks.metrics = [this] { return MetricsText(); };
+    hooks.explain = [this](const std::string& request_id) {
+      const std::vector<std::string> lines =
+          dispatcher_.explanations().Of(base::RequestId(request_id));
+      return lines.empty() ? std::string() : json(lines).dump();
+    };
+    hooks.drain = [this] { base::Spawn(executor_, DrainByOperator()); };
+    return hooks;
+  }
+
+  Task<void> DrainByOperator() { co_await Drain(); }
+
+  entry::Readiness Ready() const {
+    const std::shared_ptr<const config::Tables> tables = config_.tables();
+    if (draining_) {
+      return {false, "draining"};
+    }
+    if (!tables) {
+      return {false, "no configuration is in force yet"};
+    }
+    if (tables->out_of_service.contains(settings_.data_centre)) {
+      return {false, "the data centre is out of service"};
+    }
+    return {true, "ready"};
+  }
+
+  Task<void> Beat() {
+    for (;;) {
+      membership_.Tick();
+      co_await base::Delay(membership::Membership::kHeartbeatInterval);
+    }
+  }
+
+  // Few daemons of a data centre read the host list; what leaves spreads on
+  // heartbeats.
+  Task<void> FollowHostList() {
+    Millis last_read(-config::ConfigService::kBackstopInterval.count());
+    for (;;) {
+      const bool reader = ReaderRank() < config::ConfigService::kReaders;
+      if (reader || clock_.Now() - last_read >=
+                        config::ConfigService::kBackstopInterval) {
+        last_read = clock_.Now();
+        const absl::StatusOr<std::vector<platform::HostEntry>> hosts =
+            co_await host_list_->Read();
+        if (hosts.ok()) {
+          NoteHosts(*hosts);
+        }
+      }
+      co_await base::Delay(kHostListInterval);
+    }
+  }
+
+  void NoteHosts(const std::vector<platform::HostEntry>& hosts) {
+    std::set<HostId> listed;
+    for (const platform::HostEntry& host : hosts) {
+      listed.insert(host.id);
+      const base::UpstreamId upstream(host.id.value());
+      bool& was_leaving = listed_leaving_[upstream];
+      const admission::UpstreamReport* report =
+          slots_.holder().ReportOf(upstream);
+      // The list lags: it speaks of the run that was there when it changed.
+      if (host.leaving && !was_leaving && report != nullptr) {
+        was_leaving = true;
+        Emit(Event::kUpstreamLeaving,
+             {{"upstream", upstream.value()}, {"source", "host list"}});
+        membership_.MarkLeaving(upstream, report->incarnation);
+      } else if (!host.leaving) {
+        was_leaving = false;
+      }
+    }
+    membership_.OnHostList(listed);
+  }
+
+  std::string Status() const {
+    json upstreams = json::array();
+    const std::shared_ptr<const config::Tables> tables = config_.tables();
+    if (tables) {
+      for (const auto& [id, upstream] : tables->upstreams) {
+        upstreams.push_back(StatusOf(*tables, upstream));
+      }
+    }
+    json peers = json::array();
+    for (const PeerSettings& peer : settings_.peers) {
+      peers.push_back({{"id", peer.id.value()},
+                       {"data_centre", peer.data_centre.value()},
+                       {"up", membership_.IsUp(peer.id)}});
+    }
+    const entry::Readiness readiness = Ready();
+    return json({{"host", settings_.id.value()},
+                 {"data_centre", settings_.data_centre.value()},
+                 {"incarnation", incarnation_.value()},
+                 {"version", config_.version().count()},
+                 {"ready", readiness.ready},
+                 {"readiness", readiness.reason},
+                 {"platform_reachable", config_.platform_reachable()},
+                 {"in_flight", entry_server_.in_flight()},
+                 {"queued", dispatcher_.queued()},
+                 {"claims", claims_.claims()},
+                 {"length_groups", dispatcher_.lengths().groups()},
+                 {"peers", std::move(peers)},
+                 {"upstreams", std::move(upstreams)}})
+        .dump();
+  }
+
+  json StatusOf(const config::Tables& tables,
+                const config::Upstream& upstream) const {
+    const admission::SlotHolder& holder = slots_.holder();
+    const admission::UpstreamReport* report = holder.ReportOf(upstream.id);
+    std::string state = "unknown";
+    if (!tables.InService(upstream)) {
+      state = "out";
+    } else if (report != nullptr && !report->reachable) {
+      state = "unreachable";
+    } else if (report != nullptr &&
+               (report->leaving ||
+                membership_.IsLeaving(upstream.id, report->incarnation))) {
+      state = "leaving";
+    } else if (report != nullptr) {
+      state = report->cold ? "cold" : "warm";
+    }
+    const std::optional<HostId> owner =
+        membership_.OwnerOf(upstream.id, upstream.data_centre);
+    return {{"id", upstream.id.value()},
+            {"pool", upstream.pool.value()},
+            {"data_centre", upstream.data_centre.value()},
+            {"state", state},
+            {"owner", owner ? owner->value() : ""},
+            {"leased", holder.Leased(upstream.id).count()},
+            {"in_flight", holder.InFlight(upstream.id).count()},
+            {"budget", slots_.owner().Budget(upstream.id).count()}};
+  }
+
+  std::string MetricsText() {
+    metrics_.SetLeasedSlots(static_cast<double>(slots_.holder().TotalLeased()));
+    metrics_.SetInFlight(static_cast<double>(entry_server_.in_flight()));
+    metrics_.SetQueued(static_cast<double>(dispatcher_.queued()));
+    if (transport_) {
+      const membership::TransportCounts& now = transport_->counts();
+      metrics_.Add(
+          Count::kPeerMessagesSent,
+          static_cast<double>(now.messages_sent - counted_.messages_sent));
+      metrics_.Add(Count::kPeerBytesSent,
+                   static_cast<double>(now.bytes_sent - counted_.bytes_sent));
+      metrics_.Add(Count::kPeerMessagesReceived,
+                   static_cast<double>(now.messages_received -
+                                       counted_.messages_received));
+      metrics_.Add(
+          Count::kPeerBytesReceived,
+          static_cast<double>(now.bytes_received - counted_.bytes_received));
+      counted_ = now;
+    }
+    return metrics_.Text();
+  }
+
+  base::Executor executor_;
+  Settings settings_;
+  base::Clock clock_;
+  base::Incarnation incarnation_;
+  telemetry::Metrics metrics_;
+  http::Client client_;
+  std::unique_ptr<platform::Log> log_;
+  std::unique_ptr<platform::HostList> host_list_;
+  std::unique_ptr<membership::ZmqTransport> transport_;
+  config::ConfigService config_;
+  membership::Membership membership_;
+  upstream::EngineClient engines_;
+  admission::SlotService slots_;
+  routing::Dispatcher dispatcher_;
+  claims::ClaimService claims_;
+  relay::ResumeTokens tokens_;
+  relay::GenerationRelay generations_;
+  relay::ServiceRelay services_;
+  entry::Front front_;
+  entry::Admin admin_;
+  http::Server entry_server_;
+  http::Server admin_server_;
+  Registry registry_;
+  std::map<base::UpstreamId, bool> listed_leaving_;
+  membership::TransportCounts counted_;
+  bool draining_ = false;
+  bool ready_reported_ = false;
+};
+
+Daemon::Daemon(base::Executor executor, Settings settings)
+    : impl_(std::make_unique<Impl>(std::move(executor), std::move(settings))) {}
+
+Daemon::~Daemon() {
+  impl_->Stop();
+}
+
+absl::Status Daemon::Start() {
+  return impl_->Start();
+}
+
+Task<bool> Daemon::Drain() {
+  return impl_->Drain();
+}
+
+}  // namespace dandelion::kernel
--- /dev/null
+++ b/src/membership/membership.cc
@@ -0,0 +1,244 @@
+#include "membership/membership.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace dandelion::membership {
+
+using base::DataCentreId;
+using base::HostId;
+using base::Millis;
+
+uint64_t RendezvousWeight(std::string_view key, std::string_view node) {
+  const uint64_t seed = XXH3_64bits(node.data(), node.size());
+  return XXH3_64bits_withSeed(key.data(), key.size(), seed);
+}
+
+Membership::Membership(Member self,
+                       base::Incarnation incarnation,
+                       std::vector<Member> others,
+                       base::Clock clock,
+                       Hooks hooks)
+    : self_(std::move(self)),
+      incarnation_(std::move(incarnation)),
+      clock_(std::move(clock)),
+      hooks_(std::move(hooks)) {
+  for (Member& member : others) {
+    State state;
+    state.member = member;
+    states_.emplace(member.id, std::move(state));
+  }
+}
+
+void Membership::Tick() {
+  Refresh();
+  const proto::Envelope heartbeat = MakeHeartbeat();
+  for (const auto& [id, state] : states_) {
+    if (state.member.data_centre == self_.data_centre) {
+      hooks_.send(id, heartbeat);
+    }
+  }
+  SendAcross(heartbeat);
+}
+
+void Membership::SendAcross(const proto::Envelope& heartbeat) {
+  std::map<DataCentreId, std::vector<HostId>> remote;
+  for (const auto& [id, state] : states_) {
+    if (state.member.data_centre != self_.data_centre) {
+      remote[state.member.data_centre].push_back(id);
+    }
+  }
+  for (const auto& [data_centre, hosts] : remote) {
+    if (IsDelegateFor(data_centre)) {
+      const size_t turn = next_remote_[data_centre]++;
+      hooks_.send(hosts[turn % hosts.size()], heartbeat);
+    }
+  }
+}
+
+bool Membership::IsDelegateFor(const DataCentreId& remote) const {
+  const uint64_t mine = RendezvousWeight(remote.value(), self_.id.value());
+  size_t heavier = 0;
+  for (const HostId& id : UpIn(self_.data_centre)) {
+    if (RendezvousWeight(remote.value(), id.value()) > mine) {
+      ++heavier;
+    }
+  }
+  return heavier < kDelegates;
+}
+
+proto::Envelope Membership::MakeHeartbeat() const {
+  proto::Envelope envelope;
+  envelope.set_from(self_.id.value());
+  envelope.set_incarnation(incarnation_.value());
+  proto::Heartbeat& heartbeat = *envelope.mutable_heartbeat();
+  heartbeat.set_data_centre(self_.data_centre.value());
+  heartbeat.set_config_version(hooks_.config_version().count());
+  heartbeat.set_draining(draining_);
+  for (const auto& [upstream, incarnation] : leaving_) {
+    proto::Leaving& leaving = *heartbeat.add_leaving();
+    leaving.set_upstream(upstream.value());
+    leaving.set_incarnation(incarnation.value());
+  }
+  std::map<DataCentreId, proto::DataCentreSummary*> summaries;
+  const Millis now = clock_.Now();
+  for (const auto& [id, state] : states_) {
+    if (!state.up) {
+      continue;
+    }
+    proto::DataCentreSummary*& summary = summaries[state.member.data_centre];
+    const Millis age = now - state.heard;
+    if (summary == nullptr) {
+      summary = heartbeat.add_summaries();
+      summary->set_data_centre(state.member.data_centre.value());
+    }
+    summary->set_age_ms(std::max(summary->age_ms(), age.count()));
+    summary->add_alive(id.value());
+  }
+  return envelope;
+}
+
+void Membership::OnHeartbeat(const HostId& from,
+                             const base::Incarnation& incarnation,
+                             const proto::Heartbeat& heartbeat) {
+  const auto found = states_.find(from);
+  if (found == states_.end()) {
+    return;
+  }
+  State& state = found->second;
+  const Millis now = clock_.Now();
+  state.incarnation = incarnation;
+  state.draining = heartbeat.draining();
+  Hear(state, now);
+  for (const proto::Leaving& leaving : heartbeat.leaving()) {
+    MarkLeaving(base::UpstreamId(leaving.upstream()),
+                base::Incarnation(leaving.incarnation()));
+  }
+  for (const proto::DataCentreSummary& summary : heartbeat.summaries()) {
+    // Members of this data centre are believed only at first hand.
+    if (summary.data_centre() == self_.data_centre.value()) {
+      continue;
+    }
+    for (const std::string& id : summary.alive()) {
+      const auto remote = states_.find(HostId(id));
+      if (remote != states_.end()) {
+        Hear(remote->second, now - Millis(summary.age_ms()));
+      }
+    }
+  }
+  if (base::Offset(heartbeat.config_version()) > hooks_.config_version()) {
+    hooks_.on_newer_config(from);
+  }
+}
+
+void Membership::Hear(State& state, Millis heard) {
+  state.heard = std::max(state.heard, heard);
+  const bool local = state.member.data_centre == self_.data_centre;
+  const Millis timeout = local ? kMemberTimeout : kSummaryTimeout;
+  if (!state.up && clock_.Now() - state.heard <= timeout) {
+    state.up = true;
+    hooks_.on_change(state.member.id, true);
+  }
+}
+
+void Membership::Refresh() {
+  const Millis now = clock_.Now();
+  for (auto& [id, state] : states_) {
+    const bool local = state.member.data_centre == self_.data_centre;
+    const Millis timeout = local ? kMemberTimeout : kSummaryTimeout;
+    if (state.up && now - state.heard > timeout) {
+      state.up = false;
+      hooks_.on_change(id, false);
+    }
+  }
+}
+
+void Membership::OnHostList(const std::set<HostId>& listed) {
+  const Millis now = clock_.Now();
+  for (auto& [id, state] : states_) {
+    if (listed.contains(id)) {
+      state.unlisted_since.reset();
+    } else if (!state.unlisted_since) {
+      state.unlisted_since = now;
+    }
+  }
+}
+
+void Membership::MarkLeaving(const base::UpstreamId& upstream,
+                             const base::Incarnation& incarnation) {
+  leaving_[upstream] = incarnation;
+}
+
+bool Membership::IsLeaving(const base::UpstreamId& upstream,
+                           const base::Incarnation& incarnation) const {
+  const auto found = leaving_.find(upstream);
+  return found != leaving_.end() && found->second == incarnation;
+}
+
+std::vector<HostId> Membership::UpIn(const DataCentreId& data_centre) const {
+  std::vector<HostId> hosts;
+  if (self_.data_centre == data_centre) {
+    hosts.push_back(self_.id);
+  }
+  for (const auto& [id, state] : states_) {
+    if (state.up && state.member.data_centre == data_centre) {
+      hosts.push_back(id);
+    }
+  }
+  return hosts;
+}
+
+std::optional<HostId> Membership::OwnerOf(
+    const base::UpstreamId& upstream,
+    const DataCentreId& data_centre) const {
+  std::optional<HostId> owner;
+  uint64_t best = 0;
+  for (const HostId& id : UpIn(data_centre)) {
+    const uint64_t weight = RendezvousWeight(upstream.value(), id.value());
+    if (!owner || weight > best) {
+      owner = id;
+      best = weight;
+    }
+  }
+  return owner;
+}
+
+bool Membership::IsUp(const HostId& host) const {
+  if (host == self_.id) {
+    return true;
+  }
+  const auto found = states_.find(host);
+  return found != states_.end() && found->second.up;
+}
+
+Visibility Membership::VisibilityOf(const DataCentreId& data_centre) const {
+  Visibility visibility;
+  const Millis now = clock_.Now();
+  if (self_.data_centre == data_centre) {
+    visibility = {1, 1};
+  }
+  for (const auto& [id, state] : states_) {
+    if (state.member.data_centre != data_centre) {
+      continue;
+    }
+    visibility.visible += state.up ? 1 : 0;
+    const bool forgotten = !state.up && state.unlisted_since &&
+                           now - *state.unlisted_since > kRosterGrace;
+    visibility.roster += forgotten ? 0 : 1;
+  }
+  return visibility;
+}
+
+std::vector<HostId> Membership::Up() const {
+  std::vector<HostId> hosts;
+  for (const auto& [id, state] : states_) {
+    if (state.up) {
+      hosts.push_back(id);
+    }
+  }
+  return hosts;
+}
+
+}  // namespace dandelion::membership
--- /dev/null
+++ b/src/membership/transport.cc
@@ -0,0 +1,270 @@
+#include "membership/transport.h"
+
+#include <array>
+#include <map>
+#include <optional>
+#include <utility>
+#include <zmq.hpp>
+
+#include <boost/asio/posix/stream_descriptor.hpp>
+
+#include "absl/cleanup/cleanup.h"
+#include "absl/strings/str_cat.h"
+#include "base/error.h"
+#include "telemetry/events.h"
+
+namespace dandelion::membership {
+namespace {
+
+namespace asio = boost::asio;
+using base::kNoThrow;
+using base::Task;
+
+constexpr int kHighWaterMark = 1000;
+constexpr int kReconnectMs = 100;
+constexpr int kMostReconnectMs = 1000;
+constexpr size_t kZ85KeyLength = 40;
+
+void SetCommonOptions(zmq::socket_t& socket) {
+  socket.set(zmq::sockopt::linger, 0);
+  socket.set(zmq::sockopt::sndhwm, kHighWaterMark);
+  socket.set(zmq::sockopt::rcvhwm, kHighWaterMark);
+}
+
+// Wakes when the socket may have something to read. The descriptor belongs to
+// ZeroMQ and is released, not closed.
+class Watch {
+ public:
+  Watch(const base::Executor& executor, zmq::socket_t& socket)
+      : descriptor_(executor, socket.get(zmq::sockopt::fd)) {}
+  ~Watch() { descriptor_.release(); }
+  Watch(const Watch&) = delete;
+  Watch& operator=(const Watch&) = delete;
+
+  Task<bool> Wait() {
+    const auto [error] = co_await descriptor_.async_wait(
+        asio::posix::stream_descriptor::wait_read, kNoThrow);
+    co_return !error;
+  }
+  void Cancel() { descriptor_.cancel(); }
+
+ private:
+  asio::posix::stream_descriptor descriptor_;
+};
+
+class Zmq : public ZmqTransport, public std::enable_shared_from_this<Zmq> {
+ public:
+  Zmq(base::Executor executor, Keys keys, Receiver receiver)
+      : executor_(std::move(executor)),
+        keys_(std::move(keys)),
+        receiver_(std::move(receiver)),
+        authenticator_(context_, zmq::socket_type::rep),
+        incoming_(context_, zmq::socket_type::pull) {}
+
+  absl::Status Open(const std::string& listen,
+                    const std::vector<PeerAddress>& peers) {
+    try {
+      // The library asks this endpoint about every new connection.
+      authenticator_.bind("inproc://zeromq.zap.01");
+      SetCommonOptions(incoming_);
+      incoming_.set(zmq::sockopt::curve_server, true);
+      incoming_.set(zmq::sockopt::curve_secretkey, keys_.secret_key);
+      incoming_.set(zmq::sockopt::zap_domain, "peers");
+      incoming_.bind(absl::StrCat("tcp://", listen));
+      for (const PeerAddress& peer : peers) {
+        Connect(peer);
+      }
+    } catch (const zmq::error_t& error) {
+      return base::MakeError(base::ErrorKind::kInvalidSettings,
+                             absl::StrCat("peer ", listen, ": ", error.what()),
+                             "check the peer address and the peer keys");
+    }
+    authenticator_watch_.emplace(executor_, authenticator_);
+    incoming_watch_.emplace(executor_, incoming_);
+    return absl::OkStatus();
+  }
+
+  void Start() {
+    base::Spawn(executor_, Receive(shared_from_this()));
+    base::Spawn(executor_, Authenticate(shared_from_this()));
+  }
+
+  void Send(const base::HostId& to, const proto::Envelope& message) override {
+    const auto peer = outgoing_.find(to);
+    if (peer == outgoing_.end() || closed_) {
+      return;
+    }
+    const std::string bytes = message.SerializeAsString();
+    const auto sent =
+        peer->second.send(zmq::buffer(bytes), zmq::send_flags::dontwait);
+    if (sent) {
+      ++counts_.messages_sent;
+      counts_.bytes_sent += bytes.size();
+    }
+  }
+
+  const TransportCounts& counts() const override { return counts_; }
+
+  void Close() override {
+    closed_ = true;
+    authenticator_watch_->Cancel();
+    incoming_watch_->Cancel();
+  }
+
+ private:
+  void Connect(const PeerAddress& peer) {
+    zmq::socket_t socket(context_, zmq::socket_type::push);
+    SetCommonOptions(socket);
+    socket.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
+    socket.set(zmq::sockopt::reconnect_ivl_max, kMostReconnectMs);
+    // Messages for a peer that is away are dropped, not kept for its return.
+    socket.set(zmq::sockopt::immediate, true);
+    socket.set(zmq::sockopt::curve_serverkey, keys_.public_key);
+    socket.set(zmq::sockopt::curve_publickey, keys_.public_key);
+    socket.set(zmq::sockopt::curve_secretkey, keys_.secret_key);
+    socket.connect(absl::StrCat("tcp://", peer.address));
+    outgoing_.emplace(peer.id, std::move(socket));
+  }
+
+  // The descriptor is edge-triggered: read until nothing is left.
+  static Task<void> Receive(std::shared_ptr<Zmq> self) {
+    while (!self->closed_) {
+      self->DrainIncoming();
+      const bool readable = co_await self->incoming_watch_->Wait();
+      if (!readable) {
+        break;
+      }
+    }
+  }
+
+  void DrainIncoming() {
+    zmq::message_t bytes;
+    while (!closed_ && incoming_.recv(bytes, zmq::recv_flags::dontwait)) {
+      ++counts_.messages_received;
+      counts_.bytes_received += bytes.size();
+      proto::Envelope message;
+      if (message.ParseFromArray(bytes.data(),
+                                 static_cast<int>(bytes.size()))) {
+        receiver_(message);
+      }
+    }
+  }
+
+  static Task<void> Authenticate(std::shared_ptr<Zmq> self) {
+    while (!self->closed_) {
+      self->DrainAuthenticator();
+      const bool readable = co_await self->authenticator_watch_->Wait();
+      if (!readable) {
+        break;
+      }
+    }
+  }
+
+  // Frames of a question: version, request id, domain, address, identity,
+  // mechanism, client key (RFC 27).
+  void DrainAuthenticator() {
+    for (;;) {
+      std::vector<std::string> frames;
+      zmq::message_t frame;
+      while (authenticator_.recv(frame, zmq::recv_flags::dontwait)) {
+        frames.push_back(frame.to_string());
+        if (!frame.more()) {
+          break;
+        }
+      }
+      if (frames.empty()) {
+        return;
+      }
+      Judge(frames);
+    }
+  }
+
+  void Judge(const std::vector<std::string>& frames) {
+    constexpr size_t kClientKeyFrame = 6;
+    const bool allowed =
+        frames.size() > kClientKeyFrame && IsOurKey(frames[kClientKeyFrame]);
+    if (!allowed) {
+      ++counts_.refused;
+      telemetry::Emit(telemetry::Event::kPeerRefused,
+                      {{"address", frames.size() > 3 ? frames[3] : ""}});
+    }
+    const std::array<std::string, 6> answer = {
+        "1.0",
+        frames.size() > 1 ? frames[1] : "",
+        allowed ? "200" : "400",
+        allowed ? "OK" : "unknown key",
+        "",
+        ""};
+    for (size_t i = 0; i < answer.size(); ++i) {
+      const bool last = i + 1 == answer.size();
+      authenticator_.send(
+          zmq::buffer(answer[i]),
+          last ? zmq::send_flags::none : zmq::send_flags::sndmore);
+    }
+  }
+
+  bool IsOurKey(const std::string& raw_key) const {
+    constexpr size_t kRawKeyBytes = 32;
+    if (raw_key.size() != kRawKeyBytes) {
+      return false;
+    }
+    std::array<char, kZ85KeyLength + 1> text;
+    zmq_z85_encode(text.data(),
+                   reinterpret_cast<const uint8_t*>(raw_key.data()),
+                   raw_key.size());
+    return keys_.public_key == text.data();
+  }
+
+  base::Executor executor_;
+  Keys keys_;
+  Receiver receiver_;
+  zmq::context_t context_{1};
+  zmq::socket_t authenticator_;
+  zmq::socket_t incoming_;
+  std::map<base::HostId, zmq::socket_t> outgoing_;
+  std::optional<Watch> authenticator_watch_;
+  std::optional<Watch> incoming_watch_;
+  TransportCounts counts_;
+  bool closed_ = false;
+};
+
+// Owns the shared transport, whose tasks hold it too until they have ended.
+class Handle : public ZmqTransport {
+ public:
+  explicit Handle(std::shared_ptr<Zmq> zmq) : zmq_(std::move(zmq)) {}
+  ~Handle() override { zmq_->Close(); }
+  void Send(const base::HostId& to, const proto::Envelope& message) override {
+    zmq_->Send(to, message);
+  }
+  const TransportCounts& counts() const override { return zmq_->counts(); }
+  void Close() override { zmq_->Close(); }
+
+ private:
+  std::shared_ptr<Zmq> zmq_;
+};
+
+}  // namespace
+
+absl::StatusOr<std::unique_ptr<ZmqTransport>> ZmqTransport::Make(
+    base::Executor executor,
+    const std::string& listen,
+    const std::vector<PeerAddress>& peers,
+    const Keys& keys,
+    Receiver receiver) {
+  auto zmq =
+      std::make_shared<Zmq>(std::move(executor), keys, std::move(receiver));
+  if (absl::Status opened = zmq->Open(listen, peers); !opened.ok()) {
+    return opened;
+  }
+  zmq->Start();
+  return std::make_unique<Handle>(std::move(zmq));
+}
+
+ZmqTransport::Keys ZmqTransport::MakeKeys() {
+  std::array<char, kZ85KeyLength + 1> public_key;
+  std::array<char, kZ85KeyLength + 1> secret_key;
+  zmq_curve_keypair(public_key.data(), secret_key.data());
+  return Keys{public_key.data(), secret_key.data()};
+}
+
+}  // namespace dandelion::membership
--- /dev/null
+++ b/src/platform/log.cc
@@ -0,0 +1,152 @@
+#include "platform/log.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "base/error.h"
+
+namespace dandelion::platform {
+namespace {
+
+using base::Millis;
+using base::Offset;
+using base::Task;
+using nlohmann::json;
+
+constexpr Millis kConnectTimeout(500);
+constexpr Millis kAnswerTimeout(2000);
+
+absl::Status Unreachable(std::string_view what) {
+  return base::MakeError(base::ErrorKind::kPlatformUnreachable, what,
+                         "check the platform's address and its state");
+}
+
+http::FetchLimits Limits() {
+  http::FetchLimits limits;
+  limits.connect_timeout = kConnectTimeout;
+  limits.answer_timeout = kAnswerTimeout;
+  constexpr size_t kMostBytes = 64U << 20U;
+  limits.body_bytes = kMostBytes;
+  return limits;
+}
+
+// The parsed body of a successful answer.
+absl::StatusOr<json> JsonOf(const http::FetchResult& result) {
+  if (!result.response.ok()) {
+    return Unreachable(std::string(result.response.status().message()));
+  }
+  if (result.response->status != 200) {
+    return Unreachable(
+        absl::StrCat("the answer's status is ", result.response->status));
+  }
+  json body = json::parse(result.response->body, nullptr, false);
+  if (body.is_discarded()) {
+    return Unreachable("the answer is not JSON");
+  }
+  return body;
+}
+
+LogPage PageFrom(const json& body) {
+  LogPage page;
+  page.first = Offset(body.at("first"));
+  page.next = Offset(body.at("next"));
+  page.retention = Millis(body.at("retention_ms"));
+  for (const json& record : body.at("records")) {
+    page.records.push_back(LogRecord{Offset(record.at("offset")),
+                                     Millis(record.at("age_ms")),
+                                     record.at("data")});
+  }
+  return page;
+}
+
+class HttpLog : public Log {
+ public:
+  HttpLog(http::Client& client, boost::asio::ip::tcp::endpoint endpoint)
+      : client_(client), endpoint_(std::move(endpoint)) {}
+
+  Task<AppendResult> Append(std::string stream, std::string data) override {
+    http::Request request;
+    request.method = "POST";
+    request.target = absl::StrCat("/log/", stream);
+    request.body = std::move(data);
+    http::FetchLimits limits = Limits();
+    // A stale kept connection would make a plain failure look uncertain.
+    limits.fresh_connection = true;
+    const http::FetchResult result =
+        co_await client_.Fetch(endpoint_, std::move(request), limits);
+    const absl::StatusOr<json> body = JsonOf(result);
+    if (!body.ok()) {
+      co_return AppendResult{body.status(), result.may_have_left};
+    }
+    co_return AppendResult{Offset(body->value("offset", int64_t{0})), true};
+  }
+
+  Task<absl::StatusOr<LogPage>> Read(std::string stream, Offset from) override {
+    http::Request request;
+    request.target = absl::StrCat("/log/", stream, "?from=", from.count());
+    const http::FetchLimits limits = Limits();
+    const http::FetchResult result =
+        co_await client_.Fetch(endpoint_, std::move(request), limits);
+    const absl::StatusOr<json> body = JsonOf(result);
+    if (!body.ok()) {
+      co_return body.status();
+    }
+    try {
+      co_return PageFrom(*body);
+    } catch (const json::exception& error) {
+      co_return Unreachable(error.what());
+    }
+  }
+
+ private:
+  http::Client& client_;
+  boost::asio::ip::tcp::endpoint endpoint_;
+};
+
+class HttpHostList : public HostList {
+ public:
+  HttpHostList(http::Client& client, boost::asio::ip::tcp::endpoint endpoint)
+      : client_(client), endpoint_(std::move(endpoint)) {}
+
+  Task<absl::StatusOr<std::vector<HostEntry>>> Read() override {
+    http::Request request;
+    request.target = "/hosts";
+    const http::FetchLimits limits = Limits();
+    const http::FetchResult result =
+        co_await client_.Fetch(endpoint_, std::move(request), limits);
+    const absl::StatusOr<json> body = JsonOf(result);
+    if (!body.ok()) {
+      co_return body.status();
+    }
+    std::vector<HostEntry> hosts;
+    try {
+      for (const json& host : body->at("hosts")) {
+        hosts.push_back(HostEntry{base::HostId(host.at("id")),
+                                  host.value("state", "live") == "leaving"});
+      }
+    } catch (const json::exception& error) {
+      co_return Unreachable(error.what());
+    }
+    co_return hosts;
+  }
+
+ private:
+  http::Client& client_;
+  boost::asio::ip::tcp::endpoint endpoint_;
+};
+
+}  // namespace
+
+std::unique_ptr<Log> MakeHttpLog(http::Client& client,
+                                 boost::asio::ip::tcp::endpoint endpoint) {
+  return std::make_unique<HttpLog>(client, std::move(endpoint));
+}
+
+std::unique_ptr<HostList> MakeHttpHostList(
+    http::Client& client,
+    boost::asio::ip::tcp::endpoint endpoint) {
+  return std::make_unique<HttpHostList>(client, std::move(endpoint));
+}
+
+}  // namespace dandelion::platform
--- /dev/null
+++ b/src/relay/generation_relay.cc
@@ -0,0 +1,339 @@
+#include "relay/generation_relay.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/cleanup/cleanup.h"
+#include "absl/strings/str_cat.h"
+#include "http/server.h"
+#include "telemetry/events.h"
+
+namespace dandelion::relay {
+
+using admission::SlotHolder;
+using base::ErrorKind;
+using base::Millis;
+using base::Ran;
+using base::Task;
+using routing::WorkRequest;
+using telemetry::Count;
+using telemetry::Emit;
+using telemetry::Event;
+using telemetry::Timing;
+
+/// The state of one generation that is being read.
+struct GenerationRelay::Progress {
+  const WorkRequest* work = nullptr;
+  ResumePoint point;
+  upstream::Endpoint engine;
+  std::unique_ptr<upstream::EngineStream> stream;
+  routing::Placement* placement = nullptr;
+  /// The next token that the caller needs.
+  int64_t next = 0;
+  Millis started;
+  Millis last_token;
+  bool had_token = false;
+  Millis stall;
+};
+
+GenerationRelay::GenerationRelay(base::Clock clock,
+                                 const kernel::Tuning& tuning,
+                                 routing::Dispatcher& dispatcher,
+                                 upstream::EngineClient& engines,
+                                 telemetry::Metrics& metrics)
+    : clock_(std::move(clock)),
+      tuning_(tuning),
+      dispatcher_(dispatcher),
+      engines_(engines),
+      metrics_(metrics) {}
+
+void GenerationRelay::Note(const WorkRequest& work, std::string line) {
+  dispatcher_.explanations().Note(work.id, std::move(line));
+}
+
+Task<RelayResult> GenerationRelay::Run(GenerationCall call,
+                                       TokenSink sink,
+                                       std::function<void()> restart) {
+  WorkRequest& work = call.work;
+  budget_.OnRequest(work.organisation, work.route.pool);
+  for (;;) {
+    bool retry = false;
+    base::UpstreamId used;
+    RelayResult result = co_await RunOnce(call, sink, &retry, &used);
+    if (result.status.ok()) {
+      dispatcher_.ObserveLength(work, result.tokens);
+      co_return result;
+    }
+    const bool fresh = result.tokens == 0 || call.restartable;
+    if (!retry || !fresh || clock_.Now() >= work.deadline ||
+        !budget_.TrySpend(work.organisation, work.route.pool)) {
+      co_return result;
+    }
+    metrics_.Add(Count::kRetries);
+    Emit(Event::kRequestRetried,
+         {{"request", work.id.value()},
+          {"organisation", work.organisation.value()},
+          {"upstream", used.value()},
+          {"reason", std::string(result.status.message())}});
+    Note(work, absl::StrCat("retried after ", used.value(),
+                            " failed: ", result.status.message()));
+    // With every upstream tried, the first may serve again.
+    work.excluded = {used};
+    restart();
+  }
+}
+
+Task<RelayResult> GenerationRelay::RunOnce(const GenerationCall& call,
+                                           const TokenSink& sink,
+                                           bool* retry,
+                                           base::UpstreamId* used) {
+  const WorkRequest& work = call.work;
+  RelayResult result;
+  absl::StatusOr<std::unique_ptr<routing::Placement>> placement =
+      co_await dispatcher_.Place(work);
+  if (!placement.ok() && !work.excluded.empty()) {
+    WorkRequest again = work;
+    again.excluded.clear();
+    placement = co_await dispatcher_.Place(again);
+  }
+  if (!placement.ok()) {
+    result.status = placement.status();
+    co_return result;
+  }
+  const config::Upstream& upstream = (*placement)->upstream();
+  *used = upstream.id;
+  *retry = true;
+  Progress progress;
+  progress.work = &work;
+  progress.placement = placement->get();
+  progress.started = clock_.Now();
+  progress.last_token = progress.started;
+  http::ParseEndpoint(upstream.address, &progress.engine);
+  progress.point =
+      ResumePoint{upstream.id,         upstream.address,
+                  base::Incarnation(), base::GenerationId(base::RandomName()),
+                  work.organisation,   work.route.name};
+  upstream::GenerationRequest request;
+  request.id = progress.point.generation;
+  request.request = work.id;
+  request.prompt = call.prompt;
+  request.prompt_tokens = base::Tokens(work.prompt_tokens);
+  request.max_tokens = call.max_tokens;
+  request.priority = work.route.request_class == "short" ? 0 : 1;
+  upstream::OpenResult opened =
+      co_await engines_.Start(progress.engine, std::move(request));
+  if (opened.stream.ok()) {
+    progress.stream = *std::move(opened.stream);
+    progress.point.incarnation = progress.stream->incarnation();
+  }
+  ReadEnd end = ReadEnd::kLost;
+  if (progress.stream != nullptr) {
+    end = co_await ReadToEnd(progress, sink);
+  } else {
+    result.status = opened.stream.status();
+    result.ran =
+        opened.may_have_left && !opened.refused ? Ran::kUnknown : Ran::kNo;
+  }
+  result.tokens = progress.next;
+  if (end == ReadEnd::kDone) {
+    (*placement)->SetEnded(SlotHolder::Ended::kWell);
+    result.status = absl::OkStatus();
+    result.ran = Ran::kYes;
+    metrics_.Observe(Timing::kWholeAnswer, work.organisation,
+                     work.route.request_class,
+                     (clock_.Now() - progress.started).seconds());
+    metrics_.Observe(Timing::kStall, work.organisation,
+                     work.route.request_class, progress.stall.seconds());
+    co_return result;
+  }
+  if (end == ReadEnd::kCallerGone) {
+    // The generation goes on: its caller may resume it elsewhere.
+    *retry = false;
+    result.status = base::MakeError(ErrorKind::kConnectionLost,
+                                    "the caller has gone", "resume the stream");
+    result.ran = Ran::kYes;
+    co_return result;
+  }
+  (*placement)->SetEnded(SlotHolder::Ended::kBadly);
+  if (opened.may_have_left && !opened.refused) {
+    co_await engines_.Cancel(progress.engine, progress.point.generation);
+  }
+  if (end == ReadEnd::kDeadline) {
+    *retry = false;
+    result.ran = Ran::kYes;
+    result.status =
+        base::MakeError(ErrorKind::kTimeout, "the request's time is over",
+                        "allow more time for long answers");
+  } else if (progress.stream != nullptr || progress.next > 0) {
+    metrics_.Add(Count::kGenerationsLost);
+    result.ran = Ran::kYes;
+    result.status = base::MakeError(
+        ErrorKind::kGenerationLost,
+        absl::StrCat("the generation on ", upstream.id.value(), " was lost"),
+        "send the request again for a new answer");
+  }
+  co_return result;
+}
+
+Task<GenerationRelay::ReadEnd> GenerationRelay::ReadToEnd(
+    Progress& progress,
+    const TokenSink& sink) {
+  Millis patience = tuning_.stall_timeout;
+  while (clock_.Now() < progress.work->deadline) {
+    if (progress.stream == nullptr) {
+      const bool reconnected = co_await Reconnect(progress);
+      if (!reconnected) {
+        co_return ReadEnd::kLost;
+      }
+    }
+    absl::StatusOr<upstream::StreamPart> part =
+        co_await progress.stream->Next(patience);
+    if (!part.ok()) {
+      // A quiet engine may be slow and not silent: wait longer next time.
+      if (base::KindOf(part.status()) == ErrorKind::kTimeout) {
+        constexpr Millis kMostPatience(8000);
+        patience = std::min(kMostPatience, patience * 2);
+      }
+      progress.stream.reset();
+      Note(*progress.work,
+           absl::StrCat("connection to ", progress.point.upstream.value(),
+                        " failed at token ", progress.next, ": ",
+                        part.status().message()));
+      continue;
+    }
+    bool gap = false;
+    const absl::Status delivered =
+        co_await Deliver(progress, part->tokens, sink, &gap);
+    if (!delivered.ok()) {
+      co_return ReadEnd::kCallerGone;
+    }
+    if (gap) {
+      progress.stream.reset();
+      continue;
+    }
+    if (!part->tokens.empty()) {
+      patience = tuning_.stall_timeout;
+    }
+    if (part->done) {
+      co_return ReadEnd::kDone;
+    }
+  }
+  co_return ReadEnd::kDeadline;
+}
+
+// Opens a new connection to the same generation. False if the generation is
+// lost, or its engine has not answered for too long.
+Task<bool> GenerationRelay::Reconnect(Progress& progress) {
+  const Millis give_up = clock_.Now() + kLostAfter;
+  while (clock_.Now() < give_up && clock_.Now() < progress.work->deadline) {
+    upstream::OpenResult opened = co_await engines_.Resume(
+        progress.engine, progress.point.generation, progress.next);
+    if (opened.unknown_generation) {
+      co_return false;
+    }
+    if (opened.stream.ok()) {
+      progress.stream = *std::move(opened.stream);
+      if (progress.stream->incarnation() != progress.point.incarnation) {
+        co_return false;
+      }
+      metrics_.Add(Count::kResumes);
+      Emit(Event::kStreamResumed,
+           {{"request", progress.work->id.value()},
+            {"organisation", progress.work->organisation.value()},
+            {"upstream", progress.point.upstream.value()},
+            {"token", absl::StrCat(progress.next)}});
+      co_return true;
+    }
+    // Nothing was delivered yet, so another engine serves sooner.
+    const bool refused_connection = !opened.may_have_left;
+    if (progress.next == 0 && refused_connection) {
+      co_return false;
+    }
+    co_await base::Delay(kResumePause);
+  }
+  co_return false;
+}
+
+Task<absl::Status> GenerationRelay::Deliver(
+    Progress& progress,
+    const std::vector<upstream::Token>& tokens,
+    const TokenSink& sink,
+    bool* gap) {
+  std::vector<upstream::Token> fresh;
+  for (const upstream::Token& token : tokens) {
+    if (token.index < progress.next) {
+      continue;
+    }
+    if (token.index > progress.next) {
+      *gap = true;
+      break;
+    }
+    fresh.push_back(token);
+    ++progress.next;
+  }
+  if (fresh.empty()) {
+    co_return absl::OkStatus();
+  }
+  const Millis now = clock_.Now();
+  const Millis since = now - progress.last_token;
+  const WorkRequest& work = *progress.work;
+  if (progress.had_token) {
+    metrics_.Observe(Timing::kBetweenTokens, work.organisation,
+                     work.route.request_class, since.seconds());
+    if (since > kStallBound) {
+      progress.stall = progress.stall + (since - kStallBound);
+    }
+  } else {
+    metrics_.Observe(Timing::kFirstToken, work.organisation,
+                     work.route.request_class,
+                     (now - progress.started).seconds());
+  }
+  if (progress.placement != nullptr) {
+    if (progress.had_token) {
+      progress.placement->OnToken(progress.next, since);
+    } else {
+      progress.placement->OnFirstToken(now - progress.started,
+                                       work.prompt_tokens);
+    }
+  }
+  progress.had_token = true;
+  progress.last_token = now;
+  metrics_.Add(Count::kTokens, static_cast<double>(fresh.size()));
+  co_return co_await sink(progress.point, fresh);
+}
+
+Task<RelayResult> GenerationRelay::Resume(WorkRequest work,
+                                          ResumePoint point,
+                                          int64_t from,
+                                          TokenSink sink) {
+  Progress progress;
+  progress.work = &work;
+  progress.point = std::move(point);
+  progress.next = from;
+  progress.started = clock_.Now();
+  progress.last_token = progress.started;
+  http::ParseEndpoint(progress.point.address, &progress.engine);
+  const ReadEnd end = co_await ReadToEnd(progress, sink);
+  RelayResult result;
+  result.ran = Ran::kYes;
+  result.tokens = progress.next;
+  if (end == ReadEnd::kLost) {
+    Emit(Event::kGenerationLost,
+         {{"request", work.id.value()},
+          {"organisation", work.organisation.value()},
+          {"upstream", progress.point.upstream.value()}});
+    result.status = base::MakeError(ErrorKind::kGenerationLost,
+                                    "the generation no longer exists",
+                                    "send the request again for a new answer");
+  } else if (end == ReadEnd::kDeadline) {
+    result.status =
+        base::MakeError(ErrorKind::kTimeout, "the request's time is over",
+                        "allow more time for long answers");
+  } else if (end == ReadEnd::kCallerGone) {
+    result.status = base::MakeError(ErrorKind::kConnectionLost,
+                                    "the caller has gone", "resume the stream");
+  }
+  co_return result;
+}
+
+}  // namespace dandelion::relay
--- /dev/null
+++ b/src/relay/service_relay.cc
@@ -0,0 +1,242 @@
+#include "relay/service_relay.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "http/server.h"
+#include "telemetry/events.h"
+
+namespace dandelion::relay {
+
+using admission::SlotHolder;
+using base::ErrorKind;
+using base::MakeError;
+using base::Millis;
+using base::Ran;
+using base::Task;
+using claims::ClaimResult;
+using telemetry::Count;
+using telemetry::Emit;
+using telemetry::Event;
+
+namespace {
+
+constexpr int kServerError = 500;
+
+// A service proves by this header that it refused without acting; a status
+// alone may come from something between the two ends, after the action.
+bool SaysNotRun(const http::Response& response) {
+  return response.headers.Find("X-Ran") == "no";
+}
+
+std::string Fingerprint(const ServiceCall& call) {
+  const std::string text =
+      absl::StrCat(call.method, " ", call.target, "\n", call.body);
+  const XXH128_hash_t hash = XXH3_128bits(text.data(), text.size());
+  return absl::StrCat(absl::Hex(hash.high64), absl::Hex(hash.low64));
+}
+
+ServiceResult Unsent(ErrorKind kind,
+                     std::string_view what,
+                     std::string_view remedy) {
+  return ServiceResult{MakeError(kind, what, remedy), Ran::kNo, false};
+}
+
+}  // namespace
+
+ServiceRelay::ServiceRelay(base::Clock clock,
+                           routing::Dispatcher& dispatcher,
+                           http::Client& client,
+                           claims::ClaimService& claims,
+                           telemetry::Metrics& metrics)
+    : clock_(std::move(clock)),
+      dispatcher_(dispatcher),
+      client_(client),
+      claims_(claims),
+      metrics_(metrics) {}
+
+Task<ServiceResult> ServiceRelay::Run(ServiceCall call) {
+  budget_.OnRequest(call.work.organisation, call.work.route.pool);
+  const bool reads = call.method == "GET" || call.method == "HEAD";
+  const bool idempotent = call.work.route.idempotent || reads;
+  ServiceResult result;
+  if (!idempotent && !call.key.empty()) {
+    result = co_await RunKeyed(call);
+  } else {
+    result = co_await Attempts(call, "");
+  }
+  if (result.ran == Ran::kUnknown) {
+    metrics_.Add(Count::kOutcomesUnknown);
+  }
+  co_return result;
+}
+
+Task<ServiceResult> ServiceRelay::RunKeyed(const ServiceCall& call) {
+  const std::string identity =
+      claims::Identity{call.work.organisation, call.work.route.name, call.key}
+          .Text();
+  ClaimResult claim =
+      co_await claims_.Acquire(identity, Fingerprint(call), call.work.deadline);
+  switch (claim.kind) {
+    case ClaimResult::Kind::kWon:
+      break;
+    case ClaimResult::Kind::kDone: {
+      http::Response response;
+      response.status = claim.outcome.status;
+      response.headers.Add("Content-Type", claim.outcome.content_type);
+      response.body = std::move(claim.outcome.body);
+      co_return ServiceResult{std::move(response), Ran::kYes, true};
+    }
+    case ClaimResult::Kind::kUnknown:
+      co_return ServiceResult{
+          MakeError(ErrorKind::kOutcomeUnknown,
+                    "an earlier request with this key may have run",
+                    "read the state back before using a new key"),
+          Ran::kUnknown, false};
+    case ClaimResult::Kind::kInProgress:
+      co_return ServiceResult{
+          MakeError(ErrorKind::kInProgress,
+                    "an earlier request with this key is still running",
+                    "retry with the same key"),
+          Ran::kUnknown, false};
+    case ClaimResult::Kind::kKeyReused:
+      co_return Unsent(ErrorKind::kInvalidRequest,
+                       "the key was used for a different request",
+                       "use a new Idempotency-Key for a new request");
+    case ClaimResult::Kind::kUnavailable:
+      co_return Unsent(ErrorKind::kClaimUnavailable,
+                       "the platform's log cannot take a claim now",
+                       "retry with the same key once the platform is back");
+  }
+  metrics_.Add(Count::kClaimsWon);
+  ServiceResult result = co_await Attempts(call, claim.attempt);
+  if (result.ran == Ran::kNo) {
+    claims_.Release(identity, claim.attempt);
+    co_return result;
+  }
+  claims::Outcome outcome;
+  if (result.response.ok()) {
+    outcome.known = true;
+    outcome.status = result.response->status;
+    outcome.content_type =
+        std::string(result.response->headers.Find("Content-Type"));
+    outcome.body = result.response->body;
+  }
+  claims_.Finish(identity, claim.attempt, std::move(outcome));
+  co_return result;
+}
+
+// Tries upstreams until one answers, or until trying again could run the
+// request twice.
+Task<ServiceResult> ServiceRelay::Attempts(const ServiceCall& call,
+                                           const std::string& attempt) {
+  ServiceCall current = call;
+  const bool repeatable =
+      attempt.empty() && (call.work.route.idempotent || call.method == "GET");
+  for (int tries = 1;; ++tries) {
+    base::UpstreamId used;
+    ServiceResult result = co_await AttemptOnce(current, attempt, &used);
+    const bool failed =
+        !result.response.ok() || result.response->status >= kServerError;
+    const bool may_repeat = repeatable || result.ran == Ran::kNo;
+    if (result.ran == Ran::kNo && !attempt.empty()) {
+      claims_.NotSent(attempt);
+    }
+    if (!failed || !may_repeat || used.empty() || tries >= kMostAttempts ||
+        clock_.Now() >= call.work.deadline ||
+        !budget_.TrySpend(call.work.organisation, call.work.route.pool)) {
+      co_return result;
+    }
+    metrics_.Add(Count::kRetries);
+    const std::string reason =
+        result.response.ok() ? absl::StrCat(result.response->status)
+                             : std::string(result.response.status().message());
+    Emit(Event::kRequestRetried,
+         {{"request", call.work.id.value()},
+          {"organisation", call.work.organisation.value()},
+          {"upstream", used.value()},
+          {"reason", reason}});
+    dispatcher_.explanations().Note(
+        call.work.id,
+        absl::StrCat("retried after ", used.value(), " failed: ", reason));
+    current.work.excluded = {used};
+  }
+}
+
+Task<ServiceResult> ServiceRelay::AttemptOnce(const ServiceCall& call,
+                                              const std::string& attempt,
+                                              base::UpstreamId* used) {
+  absl::StatusOr<std::unique_ptr<routing::Placement>> placement =
+      co_await dispatcher_.Place(call.work);
+  if (!placement.ok() && !call.work.excluded.empty()) {
+    routing::WorkRequest again = call.work;
+    again.excluded.clear();
+    placement = co_await dispatcher_.Place(again);
+  }
+  if (!placement.ok()) {
+    co_return ServiceResult{placement.status(), Ran::kNo, false};
+  }
+  *used = (*placement)->upstream().id;
+  http::Request request;
+  request.method = call.method;
+  request.target = call.target;
+  request.headers.Add("X-Request-Id", call.work.id.value());
+  request.headers.Add("X-Organisation", call.work.organisation.value());
+  if (!call.content_type.empty()) {
+    request.headers.Add("Content-Type", call.content_type);
+  }
+  if (!call.key.empty()) {
+    request.headers.Add("Idempotency-Key", call.key);
+  }
+  request.body = call.body;
+  boost::asio::ip::tcp::endpoint endpoint;
+  http::ParseEndpoint((*placement)->upstream().address, &endpoint);
+  http::FetchLimits limits;
+  limits.answer_timeout =
+      std::max(Millis(1), call.work.deadline - clock_.Now());
+  limits.fresh_connection = !call.work.route.idempotent;
+  if (!attempt.empty() && !claims_.MaySend(attempt)) {
+    co_return Unsent(ErrorKind::kClaimUnavailable,
+                     "the claim is too old to be used",
+                     "retry with the same key");
+  }
+  const Millis started = clock_.Now();
+  http::FetchResult fetched =
+      co_await client_.Fetch(endpoint, std::move(request), limits);
+  ServiceResult result{std::move(fetched.response), Ran::kYes, false};
+  if (!result.response.ok()) {
+    result.ran = fetched.may_have_left ? Ran::kUnknown : Ran::kNo;
+    (*placement)->SetEnded(SlotHolder::Ended::kBadly);
+    co_return result;
+  }
+  const std::string_view echoed = result.response->headers.Find("X-Request-Id");
+  if (!echoed.empty() && echoed != call.work.id.value()) {
+    result.response = MakeError(ErrorKind::kBadAnswer,
+                                "the answer belongs to another request",
+                                "check what stands between the two ends");
+    result.ran = Ran::kUnknown;
+    (*placement)->SetEnded(SlotHolder::Ended::kBadly);
+    co_return result;
+  }
+  if (SaysNotRun(*result.response)) {
+    result.ran = Ran::kNo;
+    (*placement)->SetEnded(SlotHolder::Ended::kNeutral);
+    co_return result;
+  }
+  const bool server_error = result.response->status >= kServerError;
+  (*placement)
+      ->SetEnded(server_error ? SlotHolder::Ended::kBadly
+                              : SlotHolder::Ended::kWell);
+  if (server_error && !call.work.route.idempotent) {
+    result.ran = Ran::kUnknown;
+  }
+  metrics_.Observe(telemetry::Timing::kWholeAnswer, call.work.organisation,
+                   call.work.route.request_class,
+                   (clock_.Now() - started).seconds());
+  co_return result;
+}
+
+}  // namespace dandelion::relay
--- /dev/null
+++ b/src/routing/choice.cc
@@ -0,0 +1,100 @@
+#include "routing/choice.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace dandelion::routing {
+namespace {
+
+// A request to another data centre also pays for the longer way.
+constexpr double kRemoteMs = 2;
+// What one waiting request inside an engine is taken to delay the next by.
+constexpr double kWaitingMs = 40;
+constexpr double kPrefillMsPerToken = 0.03;
+
+// Occupied tokens that the prediction has missed, by the lagged report.
+double Unexplained(const Candidate& candidate) {
+  const double predicted = candidate.occupancy.mean[0];
+  return std::max(0.0, static_cast<double>(candidate.memory_used) - predicted);
+}
+
+bool FitsMemory(const ChoiceRequest& request,
+                const Candidate& candidate,
+                Score* score) {
+  if (candidate.memory_total <= 0) {
+    return true;
+  }
+  admission::Occupancy with = candidate.occupancy;
+  with += admission::OccupancyOf(request.survival, request.prompt_tokens);
+  const double peak =
+      admission::PeakTokens(with, candidate.z) + Unexplained(candidate) / 2;
+  score->predicted_peak = peak;
+  const double reserve = request.is_short ? 0 : kShortReserve;
+  const double limit =
+      static_cast<double>(candidate.memory_total) * (1 - reserve);
+  // An idle engine takes any request: none other could do better.
+  return peak <= limit || candidate.occupancy.mean[0] < 1;
+}
+
+std::string RefusalOf(const ChoiceRequest& request,
+                      const Candidate& candidate,
+                      Score* score) {
+  if (candidate.circuit_open) {
+    return "circuit open";
+  }
+  if (candidate.free_slots <= 0) {
+    return "no free slot";
+  }
+  if (!FitsMemory(request, candidate, score)) {
+    return "memory would fill";
+  }
+  return {};
+}
+
+double CostMs(const ChoiceRequest& request, const Candidate& candidate) {
+  const int64_t to_compute =
+      std::max<int64_t>(0, request.prompt_tokens - candidate.cached_tokens);
+  double cost = candidate.first_token_ms;
+  cost += kPrefillMsPerToken * static_cast<double>(to_compute);
+  cost += kWaitingMs * static_cast<double>(candidate.waiting);
+  cost += candidate.token_ms * request.expected_tokens;
+  // A fuller engine is more likely to stall, and slows down for all on it.
+  const double fill =
+      candidate.memory_total > 0
+          ? candidate.occupancy.mean[0] /
+                static_cast<double>(candidate.memory_total)
+          : static_cast<double>(candidate.in_flight) /
+                static_cast<double>(std::max<int64_t>(1, candidate.leased));
+  cost *= 1 + fill;
+  cost += candidate.same_data_centre ? 0 : kRemoteMs;
+  return cost;
+}
+
+}  // namespace
+
+Choice Choose(const ChoiceRequest& request,
+              const std::vector<Candidate>& candidates,
+              bool explain) {
+  Choice choice;
+  double best = std::numeric_limits<double>::infinity();
+  for (const Candidate& candidate : candidates) {
+    Score score;
+    std::string refusal = RefusalOf(request, candidate, &score);
+    if (refusal.empty()) {
+      score.admitted = true;
+      score.cost_ms = CostMs(request, candidate);
+      if (score.cost_ms < best) {
+        best = score.cost_ms;
+        choice.chosen = candidate.id;
+      }
+    }
+    if (explain) {
+      score.id = candidate.id;
+      score.refusal = std::move(refusal);
+      choice.scores.push_back(std::move(score));
+    }
+  }
+  return choice;
+}
+
+}  // namespace dandelion::routing
--- /dev/null
+++ b/src/routing/dispatcher.cc
@@ -0,0 +1,377 @@
+#include "routing/dispatcher.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "absl/cleanup/cleanup.h"
+#include "absl/strings/str_cat.h"
+#include "base/error.h"
+
+namespace dandelion::routing {
+namespace {
+
+using admission::SlotHolder;
+using base::ErrorKind;
+using base::Millis;
+using base::PoolName;
+using base::Task;
+using base::UpstreamId;
+using config::Upstream;
+
+constexpr int64_t kPrefixTokens = 256;
+
+bool IsShort(const WorkRequest& request) {
+  return request.route.request_class == "short";
+}
+
+admission::LengthGroup GroupOf(const WorkRequest& request) {
+  return {request.organisation, request.route.name,
+          request.route.request_class};
+}
+
+}  // namespace
+
+Placement::Placement(Dispatcher& dispatcher,
+                     uint64_t key,
+                     Upstream upstream,
+                     base::Incarnation incarnation,
+                     bool is_generation)
+    : dispatcher_(dispatcher),
+      key_(key),
+      upstream_(std::move(upstream)),
+      incarnation_(std::move(incarnation)),
+      is_generation_(is_generation) {}
+
+Placement::~Placement() {
+  dispatcher_.Release(key_, upstream_.id, ended_);
+}
+
+void Placement::OnToken(int64_t made, Millis gap) {
+  UpstreamModel& model = dispatcher_.models_[upstream_.id];
+  model.MadeToken(key_, made);
+  model.ObserveGap(static_cast<double>(gap.count()));
+}
+
+void Placement::OnFirstToken(Millis since_start, int64_t prompt_tokens) {
+  if (is_generation_) {
+    dispatcher_.models_[upstream_.id].ObserveFirstToken(
+        static_cast<double>(since_start.count()), prompt_tokens);
+  }
+}
+
+Dispatcher::Dispatcher(base::Executor executor,
+                       base::Clock clock,
+                       SlotHolder& slots,
+                       membership::Membership& membership,
+                       size_t queue_per_organisation,
+                       Hooks hooks)
+    : executor_(std::move(executor)),
+      clock_(std::move(clock)),
+      slots_(slots),
+      membership_(membership),
+      queue_per_organisation_(queue_per_organisation),
+      hooks_(std::move(hooks)) {}
+
+void Dispatcher::OnTables(std::shared_ptr<const config::Tables> tables) {
+  tables_ = std::move(tables);
+  std::erase_if(models_, [this](const auto& entry) {
+    return !tables_->upstreams.contains(entry.first) &&
+           slots_.InFlight(entry.first) == base::Slots(0);
+  });
+  Pump();
+}
+
+Dispatcher::PoolQueue& Dispatcher::QueueOf(const PoolName& pool) {
+  std::unique_ptr<PoolQueue>& queue = queues_[pool];
+  if (!queue) {
+    queue = std::make_unique<PoolQueue>(queue_per_organisation_);
+  }
+  return *queue;
+}
+
+std::vector<const Upstream*> Dispatcher::Usable(
+    const WorkRequest& request) const {
+  std::vector<const Upstream*> usable;
+  const auto members = tables_->members.find(request.route.pool);
+  if (members == tables_->members.end()) {
+    return usable;
+  }
+  for (const UpstreamId& id : members->second) {
+    const Upstream& upstream = tables_->upstreams.at(id);
+    const admission::UpstreamReport* report = slots_.ReportOf(id);
+    const bool leaving =
+        report != nullptr &&
+        (report->leaving || membership_.IsLeaving(id, report->incarnation));
+    if (tables_->InService(upstream) && !leaving &&
+        !request.excluded.contains(id)) {
+      usable.push_back(&upstream);
+    }
+  }
+  return usable;
+}
+
+Candidate Dispatcher::CandidateFrom(const WorkRequest& request,
+                                    const Upstream& upstream) {
+  UpstreamModel& model = models_[upstream.id];
+  Candidate candidate;
+  candidate.id = upstream.id;
+  candidate.same_data_centre =
+      upstream.data_centre == membership_.self().data_centre;
+  candidate.free_slots = slots_.Free(upstream.id);
+  candidate.in_flight = slots_.InFlight(upstream.id).count();
+  candidate.leased = slots_.Leased(upstream.id).count();
+  candidate.token_ms = model.token_ms();
+  candidate.first_token_ms = model.first_token_ms();
+  candidate.occupancy = model.occupancy();
+  candidate.occupancy += slots_.OthersOn(upstream.id);
+  candidate.z = model.z();
+  candidate.circuit_open = model.CircuitOpen(clock_.Now());
+  candidate.cached_tokens = model.HasPrefix(request.prefix)
+                                ? std::min(kPrefixTokens, request.prompt_tokens)
+                                : 0;
+  if (const admission::UpstreamReport* report = slots_.ReportOf(upstream.id)) {
+    candidate.cold = report->cold;
+    candidate.memory_total = report->memory_total;
+    candidate.memory_used = report->memory_used;
+    candidate.waiting = report->waiting;
+    model.ObservePreemptions(report->preemptions, report->incarnation);
+  }
+  return candidate;
+}
+
+ChoiceRequest Dispatcher::Describe(const WorkRequest& request) const {
+  ChoiceRequest choice;
+  choice.is_short = IsShort(request);
+  choice.prompt_tokens = request.prompt_tokens;
+  choice.survival = lengths_.Survival(GroupOf(request), 0);
+  choice.expected_tokens = lengths_.MeanRemaining(GroupOf(request), 0);
+  return choice;
+}
+
+std::unique_ptr<Placement> Dispatcher::TryPlace(const WorkRequest& request) {
+  std::vector<Candidate> candidates;
+  for (const Upstream* upstream : Usable(request)) {
+    candidates.push_back(CandidateFrom(request, *upstream));
+  }
+  const Choice choice = Choose(Describe(request), candidates, true);
+  if (choice.chosen.empty()) {
+    return nullptr;
+  }
+  Explain(request, choice);
+  return Take(request, tables_->upstreams.at(choice.chosen));
+}
+
+std::unique_ptr<Placement> Dispatcher::Take(const WorkRequest& request,
+                                            const Upstream& upstream) {
+  if (!slots_.TryTake(upstream.id)) {
+    return nullptr;
+  }
+  const uint64_t key = ++last_key_;
+  const bool is_generation = upstream.kind == config::PoolKind::kEngine;
+  if (is_generation) {
+    UpstreamModel& model = models_[upstream.id];
+    model.Add(key, OwnGeneration{GroupOf(request), request.prompt_tokens, 0},
+              lengths_);
+    model.UsePrefix(request.prefix, kPrefixTokens);
+  }
+  const admission::UpstreamReport* report = slots_.ReportOf(upstream.id);
+  return std::make_unique<Placement>(
+      *this, key, upstream,
+      report == nullptr ? base::Incarnation() : report->incarnation,
+      is_generation);
+}
+
+Task<absl::StatusOr<std::unique_ptr<Placement>>> Dispatcher::Place(
+    WorkRequest request) {
+  if (!tables_) {
+    co_return base::MakeError(ErrorKind::kNotReady, "no tables are in force",
+                              "publish tables, or wait for the platform");
+  }
+  if (Usable(request).empty()) {
+    co_return base::MakeError(
+        ErrorKind::kNoUpstream,
+        absl::StrCat("no upstream of pool ", request.route.pool.value(),
+                     " is in service"),
+        "bring upstreams or data centres back, or add some");
+  }
+  PoolQueue& queue = QueueOf(request.route.pool);
+  if (queue.fair.size() == 0) {
+    if (std::unique_ptr<Placement> placement = TryPlace(request)) {
+      co_return placement;
+    }
+  }
+  if (PredictedWaitMs(request) >
+      static_cast<double>((request.deadline - clock_.Now()).count())) {
+    co_return base::MakeError(ErrorKind::kOverloaded,
+                              "the predicted wait passes the deadline",
+                              "retry later, or allow more time");
+  }
+  boost::asio::steady_timer timer(executor_);
+  Pending pending{&request, &timer, nullptr};
+  admission::Waiter waiter;
+  waiter.ticket = ++last_key_;
+  waiter.organisation = request.organisation;
+  waiter.is_short = IsShort(request);
+  waiter.cost = Describe(request).expected_tokens;
+  if (!queue.fair.Push(waiter)) {
+    co_return base::MakeError(ErrorKind::kOverloaded,
+                              "the organisation's queue is full",
+                              "send fewer requests at once");
+  }
+  queue.pending[waiter.ticket] = &pending;
+  const absl::Cleanup leave = [&] {
+    queue.pending.erase(waiter.ticket);
+    if (!pending.placement) {
+      queue.fair.Remove(waiter.ticket);
+    }
+  };
+  explanations_.Note(request.id, "queued: no upstream can take it now");
+  hooks_.hurry();
+  while (!pending.placement && clock_.Now() < request.deadline) {
+    // Reports and predictions change without an event of their own.
+    constexpr Millis kTryInterval(100);
+    co_await base::WaitFor(timer, kTryInterval);
+    if (!pending.placement) {
+      Pump();
+      hooks_.hurry();
+    }
+  }
+  if (!pending.placement) {
+    co_return base::MakeError(ErrorKind::kTimeout,
+                              "no upstream became free before the deadline",
+                              "retry later, or allow more time");
+  }
+  co_return std::move(pending.placement);
+}
+
+void Dispatcher::Pump() {
+  if (!tables_ || pumping_) {
+    return;
+  }
+  pumping_ = true;
+  const absl::Cleanup done = [this] { pumping_ = false; };
+  for (auto& [pool, queue] : queues_) {
+    PoolQueue& current = *queue;
+    current.fair.Pump([&](const admission::Waiter& waiter) {
+      Pending& pending = *current.pending.at(waiter.ticket);
+      pending.placement = TryPlace(*pending.request);
+      if (pending.placement) {
+        pending.timer->cancel();
+      }
+      return pending.placement != nullptr;
+    });
+  }
+}
+
+void Dispatcher::Release(uint64_t key,
+                         const UpstreamId& upstream,
+                         SlotHolder::Ended ended) {
+  slots_.Release(upstream, ended);
+  UpstreamModel& model = models_[upstream];
+  model.Remove(key);
+  if (ended == SlotHolder::Ended::kWell) {
+    model.ObserveSuccess();
+  } else if (ended == SlotHolder::Ended::kBadly) {
+    model.ObserveFailure(clock_.Now());
+  }
+  Pump();
+}
+
+void Dispatcher::ObserveLength(const WorkRequest& request, int64_t tokens) {
+  const admission::LengthGroup group = GroupOf(request);
+  const double expected = lengths_.MeanRemaining(group, 0);
+  lengths_.Observe(group, tokens);
+  QueueOf(request.route.pool)
+      .fair.Correct(request.organisation,
+                    static_cast<double>(tokens) - expected);
+}
+
+int64_t Dispatcher::QueuedFor(const Upstream& upstream) const {
+  const auto queue = queues_.find(upstream.pool);
+  if (queue == queues_.end() || !tables_) {
+    return 0;
+  }
+  const auto members = tables_->members.find(upstream.pool);
+  if (members == tables_->members.end()) {
+    return 0;
+  }
+  const auto waiting = static_cast<int64_t>(queue->second->fair.size());
+  const auto upstreams = static_cast<int64_t>(members->second.size());
+  return (waiting + upstreams - 1) / upstreams;
+}
+
+bool Dispatcher::WantsRemote(const Upstream& upstream) const {
+  if (!tables_ || !tables_->InService(upstream)) {
+    return false;
+  }
+  if (QueuedFor(upstream) > 0) {
+    return true;
+  }
+  for (const UpstreamId& id : tables_->members.at(upstream.pool)) {
+    const Upstream& other = tables_->upstreams.at(id);
+    if (other.data_centre == membership_.self().data_centre &&
+        tables_->InService(other)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+admission::Occupancy Dispatcher::OccupancyOn(const UpstreamId& upstream) {
+  UpstreamModel& model = models_[upstream];
+  model.Refresh(lengths_);
+  return model.occupancy();
+}
+
+size_t Dispatcher::queued() const {
+  size_t total = 0;
+  for (const auto& [pool, queue] : queues_) {
+    total += queue->fair.size();
+  }
+  return total;
+}
+
+double Dispatcher::PredictedWaitMs(const WorkRequest& request) const {
+  const auto queue = queues_.find(request.route.pool);
+  if (queue == queues_.end()) {
+    return 0;
+  }
+  double tokens_per_ms = 0;
+  for (const Upstream* upstream : Usable(request)) {
+    const auto model = models_.find(upstream->id);
+    const double token_ms =
+        model == models_.end() ? 30 : std::max(1.0, model->second.token_ms());
+    tokens_per_ms +=
+        static_cast<double>(slots_.Leased(upstream->id).count()) / token_ms;
+  }
+  if (tokens_per_ms <= 0) {
+    return 0;
+  }
+  return queue->second->fair.BacklogBefore(request.organisation,
+                                           IsShort(request)) /
+         tokens_per_ms;
+}
+
+int64_t Dispatcher::RetryAfterSeconds(const WorkRequest& request) const {
+  constexpr double kMsPerSecond = 1000;
+  constexpr double kMostSeconds = 600;
+  const double wait = PredictedWaitMs(request) / kMsPerSecond;
+  return static_cast<int64_t>(std::clamp(std::ceil(wait), 1.0, kMostSeconds));
+}
+
+void Dispatcher::Explain(const WorkRequest& request, const Choice& choice) {
+  std::string line = "chose " + choice.chosen.value() + ":";
+  for (const Score& score : choice.scores) {
+    if (score.admitted) {
+      line += fmt::format(" {}={:.0f}ms", score.id.value(), score.cost_ms);
+    } else {
+      line += fmt::format(" {}=no({})", score.id.value(), score.refusal);
+    }
+  }
+  explanations_.Note(request.id, std::move(line));
+}
+
+}  // namespace dandelion::routing
--- /dev/null
+++ b/src/telemetry/events.cc
@@ -0,0 +1,134 @@
+#include "telemetry/events.h"
+
+#include <fmt/format.h>
+
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <cstdio>
+#include <iterator>
+
+namespace dandelion::telemetry {
+namespace {
+
+struct EventRow {
+  Event event;
+  Level level;
+  std::string_view name;
+};
+
+constexpr std::array kEvents = {
+    EventRow{Event::kDaemonStarted, Level::kInfo, "daemon_started"},
+    EventRow{Event::kDaemonReady, Level::kInfo, "daemon_ready"},
+    EventRow{Event::kDrainStarted, Level::kInfo, "drain_started"},
+    EventRow{Event::kDrainFinished, Level::kInfo, "drain_finished"},
+    EventRow{Event::kDrainTimedOut, Level::kError, "drain_timed_out"},
+    EventRow{Event::kStopForced, Level::kError, "stop_forced"},
+    EventRow{Event::kStartFailed, Level::kError, "start_failed"},
+    EventRow{Event::kConfigInstalled, Level::kInfo, "config_installed"},
+    EventRow{Event::kConfigRejected, Level::kWarning, "config_rejected"},
+    EventRow{Event::kConfigGap, Level::kWarning, "config_gap"},
+    EventRow{Event::kConfigSnapshot, Level::kInfo, "config_snapshot"},
+    EventRow{Event::kPlatformUnreachable, Level::kWarning,
+             "platform_unreachable"},
+    EventRow{Event::kPlatformBack, Level::kInfo, "platform_back"},
+    EventRow{Event::kPeerUp, Level::kInfo, "peer_up"},
+    EventRow{Event::kPeerDown, Level::kWarning, "peer_down"},
+    EventRow{Event::kPeerRefused, Level::kWarning, "peer_refused"},
+    EventRow{Event::kUpstreamContact, Level::kInfo, "upstream_contact"},
+    EventRow{Event::kUpstreamLost, Level::kWarning, "upstream_lost"},
+    EventRow{Event::kUpstreamLeaving, Level::kInfo, "upstream_leaving"},
+    EventRow{Event::kUpstreamCold, Level::kInfo, "upstream_cold"},
+    EventRow{Event::kUpstreamWarm, Level::kInfo, "upstream_warm"},
+    EventRow{Event::kRequestDone, Level::kInfo, "request_done"},
+    EventRow{Event::kRequestFailed, Level::kWarning, "request_failed"},
+    EventRow{Event::kRequestRetried, Level::kInfo, "request_retried"},
+    EventRow{Event::kStreamResumed, Level::kInfo, "stream_resumed"},
+    EventRow{Event::kGenerationLost, Level::kWarning, "generation_lost"},
+    EventRow{Event::kRequestRefused, Level::kInfo, "request_refused"},
+    EventRow{Event::kClaimWon, Level::kInfo, "claim_won"},
+    EventRow{Event::kClaimLost, Level::kInfo, "claim_lost"},
+    EventRow{Event::kClaimReleased, Level::kInfo, "claim_released"},
+    EventRow{Event::kClaimUnavailable, Level::kWarning, "claim_unavailable"},
+};
+
+std::atomic<Level> least_level{Level::kInfo};
+
+const EventRow& RowOf(Event event) {
+  for (const EventRow& row : kEvents) {
+    if (row.event == event) {
+      return row;
+    }
+  }
+  return kEvents.front();
+}
+
+std::string_view ToString(Level level) {
+  switch (level) {
+    case Level::kInfo:
+      return "info";
+    case Level::kWarning:
+      return "warning";
+    case Level::kError:
+      return "error";
+  }
+  return "error";
+}
+
+// logfmt: values with blanks, quotes or control characters are quoted.
+void AppendValue(fmt::memory_buffer& out, std::string_view value) {
+  const bool plain =
+      !value.empty() && value.find_first_of(" \"=\\\n\r\t") == value.npos;
+  if (plain) {
+    out.append(value.data(), value.data() + value.size());
+    return;
+  }
+  out.push_back('"');
+  for (const char c : value) {
+    if (c == '"' || c == '\\') {
+      out.push_back('\\');
+      out.push_back(c);
+    } else if (static_cast<unsigned char>(c) < ' ') {
+      fmt::format_to(std::back_inserter(out), "\\x{:02x}", c);
+    } else {
+      out.push_back(c);
+    }
+  }
+  out.push_back('"');
+}
+
+}  // namespace
+
+void Emit(Event event, std::initializer_list<Field> fields) {
+  const EventRow& row = RowOf(event);
+  if (row.level < least_level.load(std::memory_order_relaxed)) {
+    return;
+  }
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  const auto unix_ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+  fmt::memory_buffer line;
+  fmt::format_to(std::back_inserter(line), "time={} level={} event={} name={}",
+                 unix_ms, ToString(row.level), static_cast<int>(event),
+                 row.name);
+  for (const Field& field : fields) {
+    fmt::format_to(std::back_inserter(line), " {}=", field.key);
+    AppendValue(line, field.value);
+  }
+  line.push_back('\n');
+  std::fwrite(line.data(), 1, line.size(), stderr);
+}
+
+std::string_view NameOf(Event event) {
+  return RowOf(event).name;
+}
+
+Level LevelOf(Event event) {
+  return RowOf(event).level;
+}
+
+void SetLevel(Level level) {
+  least_level.store(level, std::memory_order_relaxed);
+}
+
+}  // namespace dandelion::telemetry
--- /dev/null
+++ b/src/telemetry/events.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace dandelion::telemetry {
+
+/// Numbered log events; docs/EVENTS.md says what causes each and what to do.
+enum class Event {
+  kDaemonStarted = 100,
+  kDaemonReady = 101,
+  kDrainStarted = 102,
+  kDrainFinished = 103,
+  kDrainTimedOut = 104,
+  kStopForced = 105,
+  kStartFailed = 106,
+  kConfigInstalled = 200,
+  kConfigRejected = 201,
+  kConfigGap = 202,
+  kConfigSnapshot = 203,
+  kPlatformUnreachable = 210,
+  kPlatformBack = 211,
+  kPeerUp = 300,
+  kPeerDown = 301,
+  kPeerRefused = 302,
+  kUpstreamContact = 400,
+  kUpstreamLost = 401,
+  kUpstreamLeaving = 402,
+  kUpstreamCold = 403,
+  kUpstreamWarm = 404,
+  kRequestDone = 500,
+  kRequestFailed = 501,
+  kRequestRetried = 502,
+  kStreamResumed = 503,
+  kGenerationLost = 504,
+  kRequestRefused = 505,
+  kClaimWon = 600,
+  kClaimLost = 601,
+  kClaimReleased = 602,
+  kClaimUnavailable = 603,
+};
+
+enum class Level { kInfo, kWarning, kError };
+
+struct Field {
+  std::string_view key;
+  std::string value;
+};
+
+/// Writes one logfmt line to standard error.
+void Emit(Event event, std::initializer_list<Field> fields = {});
+
+std::string_view NameOf(Event event);
+Level LevelOf(Event event);
+
+/// Events below `level` are not written.
+void SetLevel(Level level);
+
+}  // namespace dandelion::telemetry
--- /dev/null
+++ b/src/telemetry/metrics.cc
@@ -0,0 +1,179 @@
+#include "telemetry/metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <array>
+#include <map>
+#include <set>
+#include <tuple>
+#include <vector>
+
+namespace dandelion::telemetry {
+namespace {
+
+using prometheus::Histogram;
+
+struct TimingRow {
+  const char* name;
+  const char* help;
+};
+
+constexpr std::array kTimings = {
+    TimingRow{"dandelion_first_token_seconds", "Time to the first token"},
+    TimingRow{"dandelion_between_tokens_seconds", "Time between two tokens"},
+    TimingRow{"dandelion_stall_seconds",
+              "Time that an answer spent in gaps above the stall bound"},
+    TimingRow{"dandelion_answer_seconds", "Time to the whole answer"},
+};
+
+struct CountRow {
+  Count count;
+  const char* name;
+  const char* help;
+};
+
+constexpr std::array kCounts = {
+    CountRow{Count::kRetries, "dandelion_retries_total", "Repeated sends"},
+    CountRow{Count::kResumes, "dandelion_resumes_total", "Resumed streams"},
+    CountRow{Count::kGenerationsLost, "dandelion_generations_lost_total",
+             "Generations lost with their engine"},
+    CountRow{Count::kUpstreamPreemptions,
+             "dandelion_upstream_preemptions_total",
+             "Preemptions that engines reported"},
+    CountRow{Count::kTokens, "dandelion_tokens_total", "Tokens passed on"},
+    CountRow{Count::kPeerMessagesSent, "dandelion_peer_messages_sent_total",
+             "Messages sent to peers"},
+    CountRow{Count::kPeerMessagesReceived,
+             "dandelion_peer_messages_received_total",
+             "Messages received from peers"},
+    CountRow{Count::kPeerBytesSent, "dandelion_peer_bytes_sent_total",
+             "Bytes sent to peers"},
+    CountRow{Count::kPeerBytesReceived, "dandelion_peer_bytes_received_total",
+             "Bytes received from peers"},
+    CountRow{Count::kLogAppends, "dandelion_log_appends_total",
+             "Appends to the platform's log"},
+    CountRow{Count::kLogReads, "dandelion_log_reads_total",
+             "Reads of the platform's log"},
+    CountRow{Count::kClaimsWon, "dandelion_claims_won_total",
+             "Claims on non-idempotent requests won"},
+    CountRow{Count::kOutcomesUnknown, "dandelion_outcomes_unknown_total",
+             "Answers with ran unknown"},
+};
+
+const Histogram::BucketBoundaries kBuckets = {
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.047, 0.1, 0.2, 0.5,
+    1,     1.4,   2,     5,    10,   30,    60,  300, 600};
+
+}  // namespace
+
+class Metrics::Impl {
+ public:
+  explicit Impl(size_t organisations) : organisations_(organisations) {
+    for (const TimingRow& row : kTimings) {
+      timings_.push_back(
+          &prometheus::BuildHistogram().Name(row.name).Help(row.help).Register(
+              registry_));
+    }
+    for (const CountRow& row : kCounts) {
+      counters_[row.count] = &prometheus::BuildCounter()
+                                  .Name(row.name)
+                                  .Help(row.help)
+                                  .Register(registry_)
+                                  .Add({});
+    }
+    refusals_ = &prometheus::BuildCounter()
+                     .Name("dandelion_refusals_total")
+                     .Help("Refused requests by kind")
+                     .Register(registry_);
+    version_ = &MakeGauge("dandelion_config_version", "Version in force");
+    leased_ = &MakeGauge("dandelion_leased_slots", "Slots held by lease");
+    in_flight_ = &MakeGauge("dandelion_in_flight", "Requests in progress");
+    queued_ = &MakeGauge("dandelion_queued", "Requests that wait for a slot");
+  }
+
+  Histogram& HistogramFor(Timing timing,
+                          const base::OrganisationId& organisation,
+                          std::string_view request_class) {
+    std::string label = organisation.value();
+    if (!known_.contains(label)) {
+      if (known_.size() < organisations_) {
+        known_.insert(label);
+      } else {
+        label = "other";
+      }
+    }
+    const auto key = std::tuple(timing, label, std::string(request_class));
+    auto found = histograms_.find(key);
+    if (found == histograms_.end()) {
+      Histogram& made = timings_[static_cast<size_t>(timing)]->Add(
+          {{"organisation", label}, {"class", std::string(request_class)}},
+          kBuckets);
+      found = histograms_.emplace(key, &made).first;
+    }
+    return *found->second;
+  }
+
+  prometheus::Registry registry_;
+  size_t organisations_;
+  std::vector<prometheus::Family<Histogram>*> timings_;
+  std::map<std::tuple<Timing, std::string, std::string>, Histogram*>
+      histograms_;
+  std::set<std::string> known_;
+  std::map<Count, prometheus::Counter*> counters_;
+  prometheus::Family<prometheus::Counter>* refusals_;
+  prometheus::Gauge* version_;
+  prometheus::Gauge* leased_;
+  prometheus::Gauge* in_flight_;
+  prometheus::Gauge* queued_;
+
+ private:
+  prometheus::Gauge& MakeGauge(const char* name, const char* help) {
+    return prometheus::BuildGauge()
+        .Name(name)
+        .Help(help)
+        .Register(registry_)
+        .Add({});
+  }
+};
+
+Metrics::Metrics(size_t organisations)
+    : impl_(std::make_unique<Impl>(organisations)) {}
+Metrics::~Metrics() = default;
+
+void Metrics::Observe(Timing timing,
+                      const base::OrganisationId& organisation,
+                      std::string_view request_class,
+                      double seconds) {
+  impl_->HistogramFor(timing, organisation, request_class).Observe(seconds);
+}
+void Metrics::Add(Count count, double amount) {
+  impl_->counters_.at(count)->Increment(amount);
+}
+void Metrics::AddRefusal(std::string_view kind) {
+  impl_->refusals_->Add({{"kind", std::string(kind)}}).Increment();
+}
+void Metrics::SetConfigVersion(base::Offset version) {
+  impl_->version_->Set(static_cast<double>(version.count()));
+}
+void Metrics::SetLeasedSlots(double slots) {
+  impl_->leased_->Set(slots);
+}
+void Metrics::SetInFlight(double requests) {
+  impl_->in_flight_->Set(requests);
+}
+void Metrics::SetQueued(double requests) {
+  impl_->queued_->Set(requests);
+}
+double Metrics::ValueOf(Count count) const {
+  return impl_->counters_.at(count)->Value();
+}
+
+std::string Metrics::Text() const {
+  return prometheus::TextSerializer().Serialize(impl_->registry_.Collect());
+}
+
+}  // namespace dandelion::telemetry
--- /dev/null
+++ b/standin/engine_model.cc
@@ -0,0 +1,221 @@
+#include "standin/engine_model.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dandelion::standin {
+
+EngineModel::EngineModel(EngineParams params, Hooks hooks)
+    : params_(params), hooks_(std::move(hooks)) {}
+
+EngineModel::Submitted EngineModel::Submit(const EngineJob& job,
+                                           double now_ms) {
+  Advance(now_ms);
+  if (now_ms < up_at_ms_) {
+    return Submitted::kDown;
+  }
+  const auto in_engine =
+      static_cast<int64_t>(running_.size() + waiting_.size());
+  if (Cold(now_ms) && in_engine + 1 > params_.cold_slots) {
+    Restart(now_ms);
+    return Submitted::kFellOver;
+  }
+  Sequence sequence;
+  sequence.job = job;
+  sequence.to_prefill = job.prompt_tokens;
+  const auto place = std::find_if(
+      waiting_.begin(), waiting_.end(),
+      [&](const Sequence& s) { return s.job.priority > job.priority; });
+  waiting_.insert(place, sequence);
+  if (step_end_ms_ < 0) {
+    StartStep(now_ms);
+  }
+  return Submitted::kAccepted;
+}
+
+void EngineModel::Cancel(uint64_t key) {
+  const auto is_key = [key](const Sequence& s) { return s.job.key == key; };
+  for (auto it = running_.begin(); it != running_.end(); ++it) {
+    if (is_key(*it)) {
+      used_tokens_ -= Blocks(*it);
+      running_.erase(it);
+      return;
+    }
+  }
+  waiting_.remove_if(is_key);
+}
+
+void EngineModel::Advance(double now_ms) {
+  while (step_end_ms_ >= 0 && step_end_ms_ <= now_ms) {
+    const double end = step_end_ms_;
+    EndStep();
+    StartStep(end);
+  }
+}
+
+double EngineModel::NextStepEnd() const {
+  return step_end_ms_;
+}
+
+void EngineModel::Restart(double now_ms) {
+  LoseAll(now_ms);
+  ++incarnation_;
+  prefixes_.clear();
+  up_at_ms_ = now_ms + params_.restart_ms;
+  warm_at_ms_ = up_at_ms_ + params_.warming_ms;
+}
+
+void EngineModel::TurnCold(double now_ms) {
+  warm_at_ms_ = now_ms + params_.warming_ms;
+}
+
+EngineLoad EngineModel::Load(double now_ms) const {
+  EngineLoad load;
+  load.incarnation = incarnation_;
+  load.running = static_cast<int64_t>(running_.size());
+  load.waiting = static_cast<int64_t>(waiting_.size());
+  load.memory_used = used_tokens_;
+  load.memory_total = params_.memory_tokens;
+  load.preemptions = preemptions_;
+  load.recomputed_tokens = recomputed_tokens_;
+  load.completed = completed_;
+  load.cold = Cold(now_ms);
+  load.down = now_ms < up_at_ms_;
+  return load;
+}
+
+int64_t EngineModel::Blocks(const Sequence& sequence) const {
+  const int64_t context = sequence.job.prompt_tokens + sequence.made;
+  const int64_t blocks =
+      (context + params_.block_tokens - 1) / params_.block_tokens;
+  return blocks * params_.block_tokens;
+}
+
+void EngineModel::StartStep(double now_ms) {
+  Admit();
+  if (running_.empty()) {
+    step_end_ms_ = -1;
+    return;
+  }
+  int64_t budget = params_.prefill_chunk_tokens;
+  int64_t prefilled = 0;
+  for (Sequence& sequence : running_) {
+    const int64_t part = std::min(budget, sequence.to_prefill);
+    sequence.to_prefill -= part;
+    budget -= part;
+    prefilled += part;
+  }
+  constexpr double kTokensPerKilotoken = 1000;
+  double step = params_.step_base_ms;
+  step += params_.step_per_sequence_ms * static_cast<double>(running_.size());
+  step += params_.step_per_kilotoken_ms * static_cast<double>(used_tokens_) /
+          kTokensPerKilotoken;
+  step += params_.prefill_per_kilotoken_ms * static_cast<double>(prefilled) /
+          kTokensPerKilotoken;
+  if (Cold(now_ms)) {
+    step *= params_.cold_slowdown;
+  }
+  step_end_ms_ = now_ms + step;
+}
+
+void EngineModel::Admit() {
+  while (!waiting_.empty() &&
+         static_cast<int64_t>(running_.size()) < params_.slots) {
+    Sequence& next = waiting_.front();
+    const int64_t blocks = Blocks(next);
+    const bool fits = used_tokens_ + blocks <= params_.memory_tokens;
+    // A sequence larger than the whole memory still runs, alone.
+    if (!fits && !running_.empty()) {
+      return;
+    }
+    UsePrefix(next);
+    next.started = ++starts_;
+    used_tokens_ += blocks;
+    running_.push_back(next);
+    waiting_.pop_front();
+  }
+}
+
+void EngineModel::UsePrefix(Sequence& sequence) {
+  const EngineJob& job = sequence.job;
+  if (job.prefix == 0) {
+    return;
+  }
+  const auto cached = std::find_if(
+      prefixes_.begin(), prefixes_.end(),
+      [&](const auto& entry) { return entry.first == job.prefix; });
+  if (cached != prefixes_.end()) {
+    sequence.to_prefill =
+        std::max<int64_t>(0, sequence.to_prefill - cached->second);
+    prefixes_.splice(prefixes_.begin(), prefixes_, cached);
+    return;
+  }
+  prefixes_.emplace_front(job.prefix, job.prefix_tokens);
+  int64_t total = 0;
+  for (const auto& entry : prefixes_) {
+    total += entry.second;
+  }
+  while (total > params_.prefix_cache_tokens && !prefixes_.empty()) {
+    total -= prefixes_.back().second;
+    prefixes_.pop_back();
+  }
+}
+
+void EngineModel::PreemptUntilFits() {
+  while (used_tokens_ > params_.memory_tokens && running_.size() > 1) {
+    const auto victim =
+        std::max_element(running_.begin(), running_.end(),
+                         [](const Sequence& a, const Sequence& b) {
+                           return std::pair(a.job.priority, a.started) <
+                                  std::pair(b.job.priority, b.started);
+                         });
+    used_tokens_ -= Blocks(*victim);
+    victim->to_prefill = victim->job.prompt_tokens + victim->made;
+    recomputed_tokens_ += victim->to_prefill;
+    ++preemptions_;
+    waiting_.push_front(*victim);
+    running_.erase(victim);
+  }
+}
+
+void EngineModel::EndStep() {
+  const double end = step_end_ms_;
+  std::vector<uint64_t> done;
+  for (Sequence& sequence : running_) {
+    if (sequence.to_prefill > 0) {
+      continue;
+    }
+    used_tokens_ -= Blocks(sequence);
+    ++sequence.made;
+    used_tokens_ += Blocks(sequence);
+    hooks_.on_token(sequence.job.key, sequence.made - 1, end);
+    if (sequence.made >= sequence.job.output_tokens) {
+      done.push_back(sequence.job.key);
+    }
+  }
+  for (const uint64_t key : done) {
+    Cancel(key);
+    ++completed_;
+    hooks_.on_done(key, end);
+  }
+  PreemptUntilFits();
+}
+
+void EngineModel::LoseAll(double now_ms) {
+  std::vector<uint64_t> lost;
+  for (const Sequence& sequence : running_) {
+    lost.push_back(sequence.job.key);
+  }
+  for (const Sequence& sequence : waiting_) {
+    lost.push_back(sequence.job.key);
+  }
+  running_.clear();
+  waiting_.clear();
+  used_tokens_ = 0;
+  step_end_ms_ = -1;
+  for (const uint64_t key : lost) {
+    hooks_.on_lost(key, now_ms);
+  }
+}
+
+}  // namespace dandelion::standin
--- /dev/null
+++ b/tools/fleet_commands.cc
@@ -0,0 +1,316 @@
+#include <fmt/core.h>
+
+#include <nlohmann/json.hpp>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+#include "base/ids.h"
+#include "http/client.h"
+#include "http/server.h"
+#include "membership/transport.h"
+#include "tools/command.h"
+
+namespace dandelion::tools {
+namespace {
+
+using base::Millis;
+using base::Task;
+using nlohmann::json;
+using Endpoint = boost::asio::ip::tcp::endpoint;
+
+bool ParseList(const std::string& text, std::vector<Endpoint>* endpoints) {
+  for (const absl::string_view part : absl::StrSplit(text, ',')) {
+    Endpoint endpoint;
+    if (!http::ParseEndpoint(std::string_view(part.data(), part.size()),
+                             &endpoint)) {
+      fmt::print(stderr,
+                 "dandelionctl: \"{}\" is not IP:PORT\n"
+                 "  remedy: list addresses with --admin or --to\n",
+                 std::string(part));
+      return false;
+    }
+    endpoints->push_back(endpoint);
+  }
+  return true;
+}
+
+std::string Name(const Endpoint& endpoint) {
+  return absl::StrCat(endpoint.address().to_string(), ":", endpoint.port());
+}
+
+Task<absl::StatusOr<http::Response>> Get(Endpoint endpoint,
+                                         std::string target) {
+  http::Client client;
+  http::Request request;
+  request.target = std::move(target);
+  const http::FetchLimits limits;
+  http::FetchResult result =
+      co_await client.Fetch(endpoint, std::move(request), limits);
+  co_return std::move(result.response);
+}
+
+void PrintStatus(const json& status) {
+  int64_t up = 0;
+  for (const json& peer : status.at("peers")) {
+    up += peer.at("up").get<bool>() ? 1 : 0;
+  }
+  fmt::print("{} {} version {} {} peers {}/{} in flight {} queued {}\n",
+             status.at("host").get<std::string>(),
+             status.at("data_centre").get<std::string>(),
+             status.at("version").get<int64_t>(),
+             status.at("readiness").get<std::string>(), up,
+             status.at("peers").size(), status.at("in_flight").get<int64_t>(),
+             status.at("queued").get<int64_t>());
+  for (const json& upstream : status.at("upstreams")) {
+    fmt::print("  {:<16} {:<14} {:<12} leased {:>3} in flight {:>3} owner {}\n",
+               upstream.at("id").get<std::string>(),
+               upstream.at("data_centre").get<std::string>(),
+               upstream.at("state").get<std::string>(),
+               upstream.at("leased").get<int64_t>(),
+               upstream.at("in_flight").get<int64_t>(),
+               upstream.at("owner").get<std::string>());
+  }
+}
+
+Task<Exit> RunStatus(const Options& options) {
+  std::vector<Endpoint> endpoints;
+  if (!ParseList(options.admin, &endpoints)) {
+    co_return Exit::kUsage;
+  }
+  Exit exit = Exit::kDone;
+  json all = json::array();
+  for (const Endpoint& endpoint : endpoints) {
+    const absl::StatusOr<http::Response> answer =
+        co_await Get(endpoint, "/status");
+    if (!answer.ok()) {
+      fmt::print(stderr, "{}: no answer: {}\n", Name(endpoint),
+                 std::string(answer.status().message()));
+      exit = Exit::kFailed;
+      continue;
+    }
+    const json status = json::parse(answer->body);
+    if (options.json) {
+      all.push_back(status);
+    } else {
+      PrintStatus(status);
+    }
+  }
+  if (options.json) {
+    fmt::print("{}\n", all.dump(2));
+  }
+  co_return exit;
+}
+
+Task<Exit> RunWatch(const Options& options) {
+  Exit exit = Exit::kDone;
+  for (int i = 0; options.times == 0 || i < options.times; ++i) {
+    if (i > 0) {
+      co_await base::Delay(Millis(1000));
+    }
+    exit = co_await RunStatus(options);
+    std::fflush(stdout);
+  }
+  co_return exit;
+}
+
+Task<Exit> RunExplain(const Options& options) {
+  std::vector<Endpoint> endpoints;
+  if (options.arguments.empty() || !ParseList(options.admin, &endpoints)) {
+    fmt::print(stderr, "usage: dandelionctl explain REQUEST_ID --admin ...\n");
+    co_return Exit::kUsage;
+  }
+  bool known = false;
+  for (const Endpoint& endpoint : endpoints) {
+    const std::string target =
+        absl::StrCat("/explain?request=", options.arguments[0]);
+    const absl::StatusOr<http::Response> answer =
+        co_await Get(endpoint, target);
+    if (!answer.ok() || answer->status != 200) {
+      continue;
+    }
+    known = true;
+    fmt::print("at {}:\n", Name(endpoint));
+    for (const json& line : json::parse(answer->body)) {
+      fmt::print("  {}\n", line.get<std::string>());
+    }
+  }
+  if (!known) {
+    fmt::print(stderr, "dandelionctl: no daemon remembers this request\n");
+  }
+  co_return known ? Exit::kDone : Exit::kFailed;
+}
+
+http::Request RequestFrom(const Options& options) {
+  http::Request request;
+  request.target = options.path;
+  request.headers.Add("X-Organisation", options.organisation);
+  if (!options.label.empty()) {
+    request.headers.Add("X-Label", options.label);
+  }
+  if (!options.key.empty()) {
+    request.headers.Add("Idempotency-Key", options.key);
+  }
+  if (!options.prompt.empty()) {
+    request.body =
+        json({{"prompt", options.prompt}, {"stream", options.stream}}).dump();
+  } else {
+    request.body = options.body;
+  }
+  request.method = request.body.empty() ? "GET" : "POST";
+  if (!request.body.empty()) {
+    request.headers.Add("Content-Type", "application/json");
+  }
+  return request;
+}
+
+/// What a caller has received of a stream.
+struct Received {
+  std::string last_id;
+  bool done = false;
+  bool failed = false;
+  std::string pending;
+};
+
+// Prints the text of whole events.
+void Take(std::string_view bytes, Received* received) {
+  received->pending.append(bytes);
+  size_t end = 0;
+  while ((end = received->pending.find("\n\n")) != std::string::npos) {
+    const std::string event = received->pending.substr(0, end);
+    received->pending.erase(0, end + 2);
+    for (const absl::string_view line : absl::StrSplit(event, '\n')) {
+      const std::string text(line);
+      if (text.rfind("id: ", 0) == 0) {
+        received->last_id = text.substr(4);
+      } else if (text == "data: [DONE]") {
+        received->done = true;
+      } else if (text.rfind("event: error", 0) == 0) {
+        received->failed = true;
+      } else if (text.rfind("data: ", 0) == 0) {
+        const json data = json::parse(text.substr(6), nullptr, false);
+        if (data.is_object() && data.contains("choices")) {
+          fmt::print("{}", data["choices"][0].value("text", ""));
+        } else {
+          fmt::print("{}", text.substr(6));
+        }
+      }
+    }
+  }
+  std::fflush(stdout);
+}
+
+// Reads one connection's share of a stream; true once nothing more is to come.
+Task<bool> ReadStream(Endpoint endpoint,
+                      const http::Request& request,
+                      Received& received,
+                      Exit* exit) {
+  constexpr Millis kTimeout(60'000);
+  absl::StatusOr<std::unique_ptr<http::Connection>> connection =
+      co_await http::Connect(endpoint, Millis(1000));
+  if (!connection.ok()) {
+    co_return false;
+  }
+  const absl::Status sent = co_await (*connection)->Send(request, kTimeout);
+  if (!sent.ok()) {
+    co_return false;
+  }
+  const absl::StatusOr<http::Response> head =
+      co_await (*connection)->ReadHead(kTimeout);
+  if (!head.ok()) {
+    co_return false;
+  }
+  const bool refused = head->status >= 400;
+  *exit = refused ? Exit::kFailed : Exit::kDone;
+  for (;;) {
+    const absl::StatusOr<std::string_view> bytes =
+        co_await (*connection)->ReadSome(kTimeout);
+    if (!bytes.ok()) {
+      co_return false;
+    }
+    if (bytes->empty()) {
+      break;
+    }
+    if (refused) {
+      fmt::print(stderr, "{}\n", std::string(*bytes));
+    } else {
+      Take(*bytes, &received);
+    }
+  }
+  if (received.failed) {
+    *exit = Exit::kFailed;
+  }
+  co_return refused || received.done || received.failed;
+}
+
+// Streams resume at the next daemon; whole requests are sent once.
+Task<Exit> RunSend(const Options& options) {
+  std::vector<Endpoint> endpoints;
+  if (options.organisation.empty() || !ParseList(options.to, &endpoints)) {
+    fmt::print(stderr,
+               "usage: dandelionctl send --to IP:PORT --organisation NAME "
+               "[--prompt TEXT --stream | --path PATH --body JSON]\n");
+    co_return Exit::kUsage;
+  }
+  const http::Request request = RequestFrom(options);
+  Exit exit = Exit::kFailed;
+  if (!options.stream) {
+    http::Client client;
+    http::FetchLimits limits;
+    limits.answer_timeout = Millis(600'000);
+    const http::FetchResult result =
+        co_await client.Fetch(endpoints[0], request, limits);
+    if (!result.response.ok()) {
+      fmt::print(stderr, "dandelionctl: {}\n",
+                 std::string(result.response.status().message()));
+      co_return Exit::kFailed;
+    }
+    fmt::print("{}\n", result.response->body);
+    co_return result.response->status < 400 ? Exit::kDone : Exit::kFailed;
+  }
+  constexpr size_t kTries = 20;
+  Received received;
+  for (size_t i = 0; i < kTries; ++i) {
+    http::Request next = request;
+    if (!received.last_id.empty()) {
+      next.headers.Add("Last-Event-ID", received.last_id);
+      received.pending.clear();
+    }
+    const Endpoint& endpoint = endpoints[i % endpoints.size()];
+    const bool ended = co_await ReadStream(endpoint, next, received, &exit);
+    if (ended) {
+      break;
+    }
+    exit = Exit::kFailed;
+    co_await base::Delay(Millis(200));
+  }
+  fmt::print("\n");
+  co_return exit;
+}
+
+Task<Exit> RunKeys(const Options&) {
+  const membership::ZmqTransport::Keys keys =
+      membership::ZmqTransport::MakeKeys();
+  const json out = {{"peer_public", keys.public_key},
+                    {"peer_secret", keys.secret_key},
+                    {"resume", base::RandomName() + base::RandomName()},
+                    {"operator_token", base::RandomName()}};
+  fmt::print("{}\n", out.dump(2));
+  co_return Exit::kDone;
+}
+
+}  // namespace
+
+std::vector<Command> FleetCommands() {
+  return {
+      {"status", "", "ask every daemon for its state (--admin)", RunStatus},
+      {"watch", "", "print the status once a second (--admin, --times)",
+       RunWatch},
+      {"explain", "REQUEST_ID", "say what was decided and why (--admin)",
+       RunExplain},
+      {"send", "", "send a request as a caller (--to, --organisation)",
+       RunSend},
+      {"keys", "", "make new keys for the settings files", RunKeys},
+  };
+}
+
+}  // namespace dandelion::tools
