Measure what control costs by size

Cause: the target leaves a daemon 1.2% of a core and 22 KB/s for control; no slope was known.

Change: bench/control, three sizes a case.

--- /dev/null
+++ b/bench/control.cc
@@ -0,0 +1,275 @@
+// What control costs by size: the slopes behind docs/CAPACITY.md. Each case
+// runs at three sizes at least; `bytes` counters are bytes per operation.
+#include <benchmark/benchmark.h>
+#include <malloc.h>
+#include <sodium.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "admission/length_model.h"
+#include "admission/slot_owner.h"
+#include "claims/claim_fold.h"
+#include "config/fold.h"
+#include "config/rows.h"
+#include "membership/membership.h"
+#include "routing/choice.h"
+#include "routing/upstream_model.h"
+
+namespace dandelion {
+namespace {
+
+using base::DataCentreId;
+using base::HostId;
+using base::Millis;
+using base::Offset;
+using base::Slots;
+using base::UpstreamId;
+
+size_t HeapBytes() {
+  const struct mallinfo2 info = mallinfo2();
+  return info.uordblks + info.hblkhd;
+}
+
+std::string UpstreamRow(int64_t i, int slots) {
+  return absl::StrCat(R"({"id":"engine-)", i,
+                      R"(","address":"127.0.0.1:9000","data_centre":"dc-)",
+                      i % 24, R"(","slots":)", slots,
+                      R"(,"cold_slots":2,"pool":"p"})");
+}
+
+config::Fold MakeFold(int64_t upstreams) {
+  config::ConfigRecord record;
+  record.changes.push_back(
+      {"pool/p", Offset(0), R"({"name":"p","kind":"engine"})"});
+  for (int64_t i = 0; i < upstreams; ++i) {
+    record.changes.push_back(
+        {absl::StrCat("upstream/engine-", i), Offset(0), UpstreamRow(i, 16)});
+  }
+  config::Fold fold;
+  fold.Apply(Offset(1), config::Encode(record));
+  return fold;
+}
+
+// One accepted change of one row, installed.
+void ConfigChange(benchmark::State& state) {
+  config::Fold fold = MakeFold(state.range(0));
+  int64_t offset = 2;
+  size_t bytes = 0;
+  for (auto _ : state) {
+    config::ConfigRecord record;
+    record.publish_id = "0123456789abcdef0123456789abcdef";
+    record.changes.push_back({"upstream/engine-7",
+                              fold.rows().at("upstream/engine-7").version,
+                              UpstreamRow(7, 16 + offset % 2)});
+    const std::string text = config::Encode(record);
+    bytes = text.size();
+    fold.Apply(Offset(offset++), text);
+    benchmark::DoNotOptimize(fold.Install());
+  }
+  state.counters["bytes"] = static_cast<double>(bytes);
+}
+BENCHMARK(ConfigChange)->Arg(458)->Arg(2750)->Arg(11000)->Unit(
+    benchmark::kMicrosecond);
+
+void ConfigMemory(benchmark::State& state) {
+  for (auto _ : state) {
+    const size_t before = HeapBytes();
+    const config::Fold fold = MakeFold(state.range(0));
+    const auto tables = fold.Install();
+    state.counters["bytes"] = static_cast<double>(HeapBytes() - before);
+    state.counters["snapshot_bytes"] =
+        static_cast<double>(config::Encode(fold.Snapshot()).size());
+  }
+}
+BENCHMARK(ConfigMemory)->Arg(458)->Arg(2750)->Arg(11000)->Iterations(1)->Unit(
+    benchmark::kMillisecond);
+
+std::vector<membership::Member> Fleet(int64_t data_centres) {
+  constexpr int64_t kPerDataCentre = 18;
+  std::vector<membership::Member> members;
+  for (int64_t d = 0; d < data_centres; ++d) {
+    for (int64_t h = 0; h < kPerDataCentre; ++h) {
+      members.push_back({HostId(absl::StrCat("host-", d, "-", h)),
+                         DataCentreId(absl::StrCat("dc-", d))});
+    }
+  }
+  return members;
+}
+
+// One heartbeat interval: sending, and receiving from every local member.
+void Heartbeats(benchmark::State& state) {
+  std::vector<membership::Member> members = Fleet(state.range(0));
+  const membership::Member self = members.front();
+  members.erase(members.begin());
+  Millis now(0);
+  size_t messages = 0;
+  size_t bytes = 0;
+  std::vector<std::string> sent;
+  membership::Membership::Hooks hooks;
+  hooks.send = [&](const HostId&, const proto::Envelope& message) {
+    ++messages;
+    bytes += message.SerializeAsString().size();
+  };
+  hooks.on_change = [](const HostId&, bool) {};
+  hooks.config_version = [] { return Offset(1); };
+  hooks.on_newer_config = [](const HostId&) {};
+  membership::Membership fleet(self, base::Incarnation("run"), members,
+                               base::Clock([&now] { return now; }), hooks);
+  proto::Heartbeat heartbeat;
+  heartbeat.set_config_version(1);
+  for (int64_t d = 1; d < state.range(0); ++d) {
+    proto::DataCentreSummary& summary = *heartbeat.add_summaries();
+    summary.set_data_centre(absl::StrCat("dc-", d));
+    for (int h = 0; h < 18; ++h) {
+      summary.add_alive(absl::StrCat("host-", d, "-", h));
+    }
+  }
+  for (auto _ : state) {
+    now = now + membership::Membership::kHeartbeatInterval;
+    for (const membership::Member& member : members) {
+      if (member.data_centre == self.data_centre) {
+        fleet.OnHeartbeat(member.id, base::Incarnation("run"), heartbeat);
+      }
+    }
+    messages = 0;
+    bytes = 0;
+    fleet.Tick();
+  }
+  state.counters["messages"] = static_cast<double>(messages);
+  state.counters["bytes"] = static_cast<double>(bytes);
+}
+BENCHMARK(Heartbeats)->Arg(3)->Arg(8)->Arg(24)->Unit(benchmark::kMicrosecond);
+
+// One slot owner's answer to a round of asks.
+void SlotRound(benchmark::State& state) {
+  Millis now(10'000);
+  admission::SlotOwner owner(base::Clock([&now] { return now; }));
+  std::vector<UpstreamId> upstreams;
+  for (int64_t i = 0; i < state.range(0); ++i) {
+    upstreams.emplace_back(absl::StrCat("engine-", i));
+    owner.Own(upstreams.back(), {Slots(32), Slots(2)}, true);
+    admission::UpstreamReport report;
+    report.reachable = true;
+    report.incarnation = base::Incarnation("run");
+    owner.OnReport(upstreams.back(), report);
+  }
+  uint64_t round = 0;
+  for (auto _ : state) {
+    ++round;
+    for (const UpstreamId& upstream : upstreams) {
+      admission::SlotAsk ask;
+      ask.upstream = upstream;
+      ask.in_flight = Slots(2);
+      ask.needed = Slots(3);
+      ask.successes = 1;
+      benchmark::DoNotOptimize(
+          owner.OnAsk(HostId(absl::StrCat("host-", round % 18)), round, ask,
+                      18, 18));
+    }
+  }
+}
+BENCHMARK(SlotRound)->Arg(8)->Arg(26)->Arg(104)->Unit(
+    benchmark::kMicrosecond);
+
+// A choice among the upstreams of a data centre.
+void Choice(benchmark::State& state) {
+  admission::LengthModel lengths;
+  const admission::LengthGroup group{base::OrganisationId("o"),
+                                     base::RouteName("r"), "long"};
+  for (int i = 1; i < 1000; ++i) {
+    lengths.Observe(group, i);
+  }
+  std::vector<routing::Candidate> candidates;
+  for (int64_t i = 0; i < state.range(0); ++i) {
+    routing::Candidate candidate;
+    candidate.id = UpstreamId(absl::StrCat("engine-", i));
+    candidate.free_slots = 4;
+    candidate.memory_total = 40'000;
+    candidate.occupancy =
+        admission::OccupancyOf(lengths.Survival(group, 10), 2000);
+    candidates.push_back(candidate);
+  }
+  routing::ChoiceRequest request;
+  request.prompt_tokens = 500;
+  for (auto _ : state) {
+    request.survival = lengths.Survival(group, 0);
+    request.expected_tokens = lengths.MeanRemaining(group, 0);
+    benchmark::DoNotOptimize(routing::Choose(request, candidates, false));
+  }
+}
+BENCHMARK(Choice)->Arg(11)->Arg(64)->Arg(458)->Unit(benchmark::kMicrosecond);
+
+void LengthMemory(benchmark::State& state) {
+  for (auto _ : state) {
+    const size_t before = HeapBytes();
+    admission::LengthModel lengths;
+    for (int64_t i = 0; i < state.range(0); ++i) {
+      lengths.Observe({base::OrganisationId(absl::StrCat("organisation-", i)),
+                       base::RouteName("accord-draft"), "long"},
+                      100);
+    }
+    state.counters["bytes"] = static_cast<double>(HeapBytes() - before);
+  }
+}
+BENCHMARK(LengthMemory)->Arg(1000)->Arg(10000)->Arg(43000)->Iterations(1)->Unit(
+    benchmark::kMillisecond);
+
+// Predicting one upstream's memory anew from its running generations.
+void OccupancyRefresh(benchmark::State& state) {
+  admission::LengthModel lengths;
+  const admission::LengthGroup group{base::OrganisationId("o"),
+                                     base::RouteName("r"), "long"};
+  for (int i = 1; i < 1000; ++i) {
+    lengths.Observe(group, i);
+  }
+  routing::UpstreamModel model;
+  for (int64_t i = 0; i < state.range(0); ++i) {
+    model.Add(static_cast<uint64_t>(i),
+              {group, 500, i * 7}, lengths);
+  }
+  for (auto _ : state) {
+    model.Refresh(lengths);
+  }
+}
+BENCHMARK(OccupancyRefresh)->Arg(1)->Arg(4)->Arg(16)->Unit(
+    benchmark::kMicrosecond);
+
+// Folding claims: a record of `range` claims and their outcomes.
+void ClaimFolding(benchmark::State& state) {
+  claims::ClaimFold fold;
+  int64_t offset = 1;
+  int64_t key = 0;
+  const size_t before = HeapBytes();
+  size_t bytes = 0;
+  for (auto _ : state) {
+    std::vector<claims::ClaimStep> steps;
+    for (int64_t i = 0; i < state.range(0); ++i) {
+      claims::ClaimStep step;
+      step.identity = absl::StrCat(R"(["organisation","route","key-)", ++key,
+                                   R"("])");
+      step.attempt = "0123456789abcdef0123456789abcdef";
+      step.host = HostId("host-1");
+      step.fingerprint = step.attempt;
+      steps.push_back(step);
+      step.kind = claims::ClaimStep::Kind::kOutcome;
+      step.outcome = {true, 201, "application/json", R"({"number": 77})"};
+      steps.push_back(step);
+    }
+    const std::string record = claims::EncodeSteps(steps);
+    bytes = record.size();
+    fold.Apply(Offset(offset++), record);
+  }
+  state.counters["bytes"] = static_cast<double>(bytes);
+  state.counters["bytes_per_claim"] =
+      static_cast<double>(HeapBytes() - before) / static_cast<double>(key);
+}
+BENCHMARK(ClaimFolding)->Arg(1)->Arg(8)->Arg(64)->Iterations(500)->Unit(
+    benchmark::kMicrosecond);
+
+}  // namespace
+}  // namespace dandelion
+
+BENCHMARK_MAIN();
--- a/src/config/config_service.cc
+++ b/src/config/config_service.cc
@@ -117,7 +117,7 @@
   if (fold_.version() <= version()) {
     return;
   }
-  absl::StatusOr<Tables> joined = JoinRows(fold_.rows(), fold_.version());
+  absl::StatusOr<Tables> joined = fold_.Install();
   if (!joined.ok()) {
     return;
   }
--- a/src/config/fold.h
+++ b/src/config/fold.h
@@ -68,6 +68,9 @@
   /// Rows that changed after `version`, deleted ones included.
   Rows ChangedSince(base::Offset version) const;
 
+  /// The rows in force, joined. Fails only if a peer sent invalid rows.
+  absl::StatusOr<Tables> Install() const { return JoinRows(rows_, version_); }
+
   /// A snapshot record of the present state.
   ConfigRecord Snapshot() const;
 
