Score candidates without roots and copies

Cause: the request's own occupancy was computed anew for each candidate, with a square root a grid point, and names were copied for explanations nobody asked for.

Change: one occupancy a choice, compared as squares; scores only to explain.

--- a/src/admission/occupancy.cc
+++ b/src/admission/occupancy.cc
@@ -1,8 +1,5 @@
 #include "admission/occupancy.h"
 
-#include <algorithm>
-#include <cmath>
-
 namespace dandelion::admission {
 
 Occupancy& Occupancy::operator+=(const Occupancy& other) {
@@ -32,13 +29,21 @@
   return occupancy;
 }
 
-double PeakTokens(const Occupancy& occupancy, double z) {
-  double peak = 0;
+bool StaysWithin(const Occupancy& present,
+                 const Occupancy& added,
+                 double z,
+                 double limit) {
+  const auto square_z = static_cast<float>(z * z);
+  const auto most = static_cast<float>(limit);
+  // Compared as squares: a root at each point would take most of the time.
   for (size_t i = 0; i < kGrid.size(); ++i) {
-    const double variance = std::max(0.0F, occupancy.variance[i]);
-    peak = std::max(peak, occupancy.mean[i] + z * std::sqrt(variance));
+    const float room = most - present.mean[i] - added.mean[i];
+    const float variance = present.variance[i] + added.variance[i];
+    if (room < 0 || room * room < square_z * variance) {
+      return false;
+    }
   }
-  return peak;
+  return true;
 }
 
 }  // namespace dandelion::admission
--- a/src/admission/occupancy.h
+++ b/src/admission/occupancy.h
@@ -27,7 +27,11 @@
 /// still runs `kGrid[i]` tokens from now; `context` counts its tokens now.
 Occupancy OccupancyOf(const GridValues& survival, int64_t context);
 
-/// The highest of mean + z standard deviations over the grid, in tokens.
-double PeakTokens(const Occupancy& occupancy, double z);
+/// Whether mean + z standard deviations of `present` and `added` together stay
+/// within `limit` tokens at every grid point.
+bool StaysWithin(const Occupancy& present,
+                 const Occupancy& added,
+                 double z,
+                 double limit);
 
 }  // namespace dandelion::admission
--- a/src/routing/choice.cc
+++ b/src/routing/choice.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <string_view>
 
 namespace dandelion::routing {
 namespace {
@@ -19,33 +20,30 @@
 }
 
 bool FitsMemory(const ChoiceRequest& request,
-                const Candidate& candidate,
-                Score* score) {
+                const admission::Occupancy& own,
+                const Candidate& candidate) {
   if (candidate.memory_total <= 0) {
     return true;
   }
-  admission::Occupancy with = candidate.occupancy;
-  with += admission::OccupancyOf(request.survival, request.prompt_tokens);
-  const double peak =
-      admission::PeakTokens(with, candidate.z) + Unexplained(candidate) / 2;
-  score->predicted_peak = peak;
   const double reserve = request.is_short ? 0 : kShortReserve;
   const double limit =
-      static_cast<double>(candidate.memory_total) * (1 - reserve);
+      static_cast<double>(candidate.memory_total) * (1 - reserve) -
+      Unexplained(candidate) / 2;
   // An idle engine takes any request: none other could do better.
-  return peak <= limit || candidate.occupancy.mean[0] < 1;
+  return candidate.occupancy.mean[0] < 1 ||
+         admission::StaysWithin(candidate.occupancy, own, candidate.z, limit);
 }
 
-std::string RefusalOf(const ChoiceRequest& request,
-                      const Candidate& candidate,
-                      Score* score) {
+std::string_view RefusalOf(const ChoiceRequest& request,
+                           const admission::Occupancy& own,
+                           const Candidate& candidate) {
   if (candidate.circuit_open) {
     return "circuit open";
   }
   if (candidate.free_slots <= 0) {
     return "no free slot";
   }
-  if (!FitsMemory(request, candidate, score)) {
+  if (!FitsMemory(request, own, candidate)) {
     return "memory would fill";
   }
   return {};
@@ -76,24 +74,25 @@
               const std::vector<Candidate>& candidates,
               bool explain) {
   Choice choice;
+  const admission::Occupancy own =
+      admission::OccupancyOf(request.survival, request.prompt_tokens);
   double best = std::numeric_limits<double>::infinity();
+  const Candidate* cheapest = nullptr;
   for (const Candidate& candidate : candidates) {
-    Score score;
-    std::string refusal = RefusalOf(request, candidate, &score);
-    if (refusal.empty()) {
-      score.admitted = true;
-      score.cost_ms = CostMs(request, candidate);
-      if (score.cost_ms < best) {
-        best = score.cost_ms;
-        choice.chosen = candidate.id;
-      }
+    const std::string_view refusal = RefusalOf(request, own, candidate);
+    const double cost = refusal.empty() ? CostMs(request, candidate) : 0;
+    if (refusal.empty() && cost < best) {
+      best = cost;
+      cheapest = &candidate;
     }
     if (explain) {
-      score.id = candidate.id;
-      score.refusal = std::move(refusal);
-      choice.scores.push_back(std::move(score));
+      choice.scores.push_back(
+          Score{candidate.id, refusal.empty(), std::string(refusal), cost});
     }
   }
+  if (cheapest != nullptr) {
+    choice.chosen = cheapest->id;
+  }
   return choice;
 }
 
--- a/src/routing/choice.h
+++ b/src/routing/choice.h
@@ -55,7 +55,6 @@
   bool admitted = false;
   /// Why it was not admitted; empty otherwise.
   std::string refusal;
-  double predicted_peak = 0;
   /// Predicted time until the whole answer, in ms; lower is better.
   double cost_ms = 0;
 };
