Send compact heartbeats, lease from few upstreams, do not echo beliefs

Cause: heartbeats named every daemon of every data centre to every peer: 400 KB/s at 24 data centres. Leases were asked at every upstream of the data centre.

Change: summaries carry 4-byte hashes, go between data centres every second heartbeat, and each is passed on inside the data centre once. A daemon leases from at most 48 upstreams of a pool, chosen by rendezvous hashing; occupancy travels as blocks in varints. Heartbeats every 400 ms, leases of 2.5 s.

Failed try: daemons first passed on what they believed of a remote data centre instead of what they were told. Two peers then kept a killed daemon up for good by telling each other, asked the dead owner for slots, and a digest sent while dc-b was out waited its 600 s.

--- a/src/admission/slot_owner.h
+++ b/src/admission/slot_owner.h
@@ -60,7 +60,7 @@
 /// what the upstream can bear, on each side of a split by its share.
 class SlotOwner {
  public:
-  static constexpr base::Millis kLeaseTtl{2000};
+  static constexpr base::Millis kLeaseTtl{2500};
 
   /// Replaces naive behaviour in tests that expect the violation.
   struct Hooks {
--- a/src/admission/slot_service.cc
+++ b/src/admission/slot_service.cc
@@ -1,5 +1,7 @@
 #include "admission/slot_service.h"
 
+#include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "telemetry/events.h"
@@ -16,20 +18,30 @@
 using telemetry::Emit;
 using telemetry::Event;
 
+constexpr float kBlockTokens = 16;
+
 void ToProto(const Occupancy& occupancy, proto::Occupancy* out) {
+  const auto blocks = [](float tokens) {
+    return static_cast<uint32_t>(std::max(0.0F, tokens) / kBlockTokens + 0.5F);
+  };
   for (size_t i = 0; i < kGrid.size(); ++i) {
-    out->add_mean(occupancy.mean[i]);
-    out->add_variance(occupancy.variance[i]);
+    out->add_mean(blocks(occupancy.mean[i]));
+    out->add_deviation(
+        blocks(std::sqrt(std::max(0.0F, occupancy.variance[i]))));
   }
 }
 
 Occupancy FromProto(const proto::Occupancy& in) {
   Occupancy occupancy;
   const auto points = static_cast<int>(kGrid.size());
-  if (in.mean_size() == points && in.variance_size() == points) {
-    std::copy(in.mean().begin(), in.mean().end(), occupancy.mean.begin());
-    std::copy(in.variance().begin(), in.variance().end(),
-              occupancy.variance.begin());
+  if (in.mean_size() != points || in.deviation_size() != points) {
+    return occupancy;
+  }
+  for (int i = 0; i < points; ++i) {
+    const auto at = static_cast<size_t>(i);
+    const float deviation = kBlockTokens * static_cast<float>(in.deviation(i));
+    occupancy.mean[at] = kBlockTokens * static_cast<float>(in.mean(i));
+    occupancy.variance[at] = deviation * deviation;
   }
   return occupancy;
 }
@@ -142,10 +154,32 @@
 
 void SlotService::OnTables(std::shared_ptr<const config::Tables> tables) {
   tables_ = std::move(tables);
+  ChooseNear();
   RefreshOwnership();
   Hurry();
 }
 
+// Of a large pool, each daemon leases from its own few upstreams: those of the
+// highest rendezvous weight, so that all are used alike.
+void SlotService::ChooseNear() {
+  const membership::Member& self = membership_.self();
+  near_.clear();
+  for (const auto& [pool, members] : tables_->members) {
+    std::vector<std::pair<uint64_t, UpstreamId>> local;
+    for (const UpstreamId& id : members) {
+      if (tables_->upstreams.at(id).data_centre == self.data_centre) {
+        local.emplace_back(
+            membership::RendezvousWeight(id.value(), self.id.value()), id);
+      }
+    }
+    std::sort(local.rbegin(), local.rend());
+    local.resize(std::min(local.size(), kFanOut));
+    for (const auto& [weight, id] : local) {
+      near_.insert(id);
+    }
+  }
+}
+
 void SlotService::RefreshOwnership() {
   if (!tables_) {
     return;
@@ -213,9 +247,10 @@
   std::map<HostId, std::vector<const Upstream*>> groups;
   const base::DataCentreId& here = membership_.self().data_centre;
   for (const auto& [id, upstream] : tables_->upstreams) {
-    const bool local = upstream.data_centre == here;
-    if (!local && holder_.InFlight(id) == Slots(0) &&
-        !hooks_.wants_remote(upstream)) {
+    const bool wanted = upstream.data_centre == here
+                            ? near_.contains(id)
+                            : hooks_.wants_remote(upstream);
+    if (!wanted && holder_.InFlight(id) == Slots(0)) {
       continue;
     }
     const std::optional<HostId> owner =
--- a/src/admission/slot_service.h
+++ b/src/admission/slot_service.h
@@ -20,13 +20,15 @@
 /// those that this daemon owns, and polls their load reports.
 class SlotService {
  public:
-  static constexpr base::Millis kRoundInterval{400};
+  static constexpr base::Millis kRoundInterval{700};
   /// A daemon with waiting requests asks sooner.
   static constexpr base::Millis kHurriedInterval{50};
   static constexpr base::Millis kPollInterval{250};
   /// An answer that takes longer is given up, and asked for again.
   static constexpr base::Millis kRoundTimeout{1000};
   static constexpr int64_t kSpareSlots = 2;
+  /// Upstreams of one pool that a daemon leases from in its data centre.
+  static constexpr size_t kFanOut = 48;
 
   struct Hooks {
     std::function<void(const base::HostId&, const proto::Envelope&)> send;
@@ -74,6 +76,7 @@
 
   base::Task<void> Run();
   void Ask();
+  void ChooseNear();
   void RefreshOwnership();
   std::map<base::HostId, std::vector<const config::Upstream*>> GroupByOwner()
       const;
@@ -94,6 +97,8 @@
   SlotOwner owner_;
   SlotHolder holder_;
   std::shared_ptr<const config::Tables> tables_;
+  /// Upstreams of this data centre that this daemon leases from.
+  std::set<base::UpstreamId> near_;
   std::set<base::UpstreamId> polled_;
   std::map<base::HostId, OpenRound> rounds_;
   uint64_t last_round_ = 0;
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -11,6 +11,15 @@
 using base::HostId;
 using base::Millis;
 
+namespace {
+
+uint32_t HashOf(const HostId& id) {
+  const std::string& name = id.value();
+  return static_cast<uint32_t>(XXH3_64bits(name.data(), name.size()));
+}
+
+}  // namespace
+
 uint64_t RendezvousWeight(std::string_view key, std::string_view node) {
   const uint64_t seed = XXH3_64bits(node.data(), node.size());
   return XXH3_64bits_withSeed(key.data(), key.size(), seed);
@@ -28,28 +37,47 @@
   for (Member& member : others) {
     State state;
     state.member = member;
+    state.hash = HashOf(member.id);
+    by_hash_[state.hash] = member.id;
     states_.emplace(member.id, std::move(state));
   }
 }
 
 void Membership::Tick() {
   Refresh();
-  const proto::Envelope heartbeat = MakeHeartbeat();
+  proto::Envelope heartbeat = MakeHeartbeat();
+  // What remote members told goes round this data centre once.
+  for (const auto& [data_centre, news] : news_) {
+    proto::DataCentreSummary& summary =
+        *heartbeat.mutable_heartbeat()->add_summaries();
+    summary = news.summary;
+    const Millis age = clock_.Now() - news.heard;
+    summary.set_age_ms(summary.age_ms() + age.count());
+  }
+  news_.clear();
   for (const auto& [id, state] : states_) {
     if (state.member.data_centre == self_.data_centre) {
       hooks_.send(id, heartbeat);
     }
   }
-  SendAcross(heartbeat);
+  if (ticks_++ % kTicksPerSummary == 0) {
+    SendAcross();
+  }
 }
 
-void Membership::SendAcross(const proto::Envelope& heartbeat) {
+void Membership::SendAcross() {
   std::map<DataCentreId, std::vector<HostId>> remote;
   for (const auto& [id, state] : states_) {
     if (state.member.data_centre != self_.data_centre) {
       remote[state.member.data_centre].push_back(id);
     }
   }
+  proto::Envelope heartbeat = MakeHeartbeat();
+  proto::DataCentreSummary& summary =
+      *heartbeat.mutable_heartbeat()->add_summaries();
+  for (const HostId& id : UpIn(self_.data_centre)) {
+    summary.add_alive(HashOf(id));
+  }
   for (const auto& [data_centre, hosts] : remote) {
     if (IsDelegateFor(data_centre)) {
       const size_t turn = next_remote_[data_centre]++;
@@ -82,21 +110,6 @@
     leaving.set_upstream(upstream.value());
     leaving.set_incarnation(incarnation.value());
   }
-  std::map<DataCentreId, proto::DataCentreSummary*> summaries;
-  const Millis now = clock_.Now();
-  for (const auto& [id, state] : states_) {
-    if (!state.up) {
-      continue;
-    }
-    proto::DataCentreSummary*& summary = summaries[state.member.data_centre];
-    const Millis age = now - state.heard;
-    if (summary == nullptr) {
-      summary = heartbeat.add_summaries();
-      summary->set_data_centre(state.member.data_centre.value());
-    }
-    summary->set_age_ms(std::max(summary->age_ms(), age.count()));
-    summary->add_alive(id.value());
-  }
   return envelope;
 }
 
@@ -117,22 +130,32 @@
                 base::Incarnation(leaving.incarnation()));
   }
   for (const proto::DataCentreSummary& summary : heartbeat.summaries()) {
-    // Members of this data centre are believed only at first hand.
-    if (summary.data_centre() == self_.data_centre.value()) {
-      continue;
-    }
-    for (const std::string& id : summary.alive()) {
-      const auto remote = states_.find(HostId(id));
-      if (remote != states_.end()) {
-        Hear(remote->second, now - Millis(summary.age_ms()));
-      }
-    }
+    HearSummary(summary);
+  }
+  const bool remote = state.member.data_centre != self_.data_centre;
+  if (remote && heartbeat.summaries_size() > 0) {
+    news_[state.member.data_centre] = News{heartbeat.summaries(0), now};
   }
   if (base::Offset(heartbeat.config_version()) > hooks_.config_version()) {
     hooks_.on_newer_config(from);
   }
 }
 
+void Membership::HearSummary(const proto::DataCentreSummary& summary) {
+  const Millis heard = clock_.Now() - Millis(summary.age_ms());
+  for (const uint32_t hash : summary.alive()) {
+    const auto id = by_hash_.find(hash);
+    if (id == by_hash_.end()) {
+      continue;
+    }
+    State& state = states_.at(id->second);
+    // Members of this data centre are believed only at first hand.
+    if (state.member.data_centre != self_.data_centre) {
+      Hear(state, heard);
+    }
+  }
+}
+
 void Membership::Hear(State& state, Millis heard) {
   state.heard = std::max(state.heard, heard);
   const bool local = state.member.data_centre == self_.data_centre;
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -30,11 +30,13 @@
 /// rendezvous hashing, send to one remote daemon at a time.
 class Membership {
  public:
-  static constexpr base::Millis kHeartbeatInterval{250};
+  static constexpr base::Millis kHeartbeatInterval{400};
   /// A member is taken as down after this silence.
-  static constexpr base::Millis kMemberTimeout{1000};
+  static constexpr base::Millis kMemberTimeout{1300};
+  /// Between data centres delegates send every so many heartbeats.
+  static constexpr int kTicksPerSummary = 2;
   /// Between data centres a summary takes more hops.
-  static constexpr base::Millis kSummaryTimeout{2500};
+  static constexpr base::Millis kSummaryTimeout{4000};
   /// The roster forgets a member that the host list dropped only after this
   /// time, so that two sides of a split do not both count themselves whole.
   static constexpr base::Millis kRosterGrace{5000};
@@ -86,6 +88,7 @@
  private:
   struct State {
     Member member;
+    uint32_t hash = 0;
     base::Incarnation incarnation;
     base::Millis heard{-1'000'000};
     bool up = false;
@@ -93,11 +96,17 @@
     std::optional<base::Millis> unlisted_since;
   };
 
+  struct News {
+    proto::DataCentreSummary summary;
+    base::Millis heard;
+  };
+
   void Hear(State& state, base::Millis heard);
   void Refresh();
   proto::Envelope MakeHeartbeat() const;
+  void HearSummary(const proto::DataCentreSummary& summary);
   bool IsDelegateFor(const base::DataCentreId& remote) const;
-  void SendAcross(const proto::Envelope& heartbeat);
+  void SendAcross();
   std::vector<base::HostId> UpIn(const base::DataCentreId& data_centre) const;
 
   Member self_;
@@ -107,6 +116,12 @@
   std::map<base::HostId, State> states_;
   std::map<base::UpstreamId, base::Incarnation> leaving_;
   std::map<base::DataCentreId, size_t> next_remote_;
+  std::map<uint32_t, base::HostId> by_hash_;
+  /// Summaries that remote members sent since the last heartbeat. They are
+  /// passed on as received: this daemon's own belief, told to its peers and
+  /// back, would keep a dead member up for good.
+  std::map<base::DataCentreId, News> news_;
+  int ticks_ = 0;
   bool draining_ = false;
 };
 
