--- a/bench/control.cc
+++ b/bench/control.cc
@@ -199,6 +199,7 @@
     candidate.id = UpstreamId(absl::StrCat("engine-", i));
     candidate.free_slots = 4;
     candidate.memory_total = 40'000;
+    candidate.room = 20'000;
     candidate.occupancy =
         admission::OccupancyOf(lengths.Survival(group, 10), 2000);
     candidates.push_back(candidate);
--- a/src/admission/occupancy.cc
+++ b/src/admission/occupancy.cc
@@ -1,5 +1,8 @@
 #include "admission/occupancy.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace dandelion::admission {
 
 Occupancy& Occupancy::operator+=(const Occupancy& other) {
@@ -29,21 +32,20 @@
   return occupancy;
 }
 
-bool StaysWithin(const Occupancy& present,
-                 const Occupancy& added,
-                 double z,
-                 double limit) {
-  const auto square_z = static_cast<float>(z * z);
-  const auto most = static_cast<float>(limit);
-  // Compared as squares: a root at each point would take most of the time.
+double PeakTokens(const Occupancy& occupancy, double z) {
+  const auto deviations = static_cast<float>(z);
+  float peak = 0;
   for (size_t i = 0; i < kGrid.size(); ++i) {
-    const float room = most - present.mean[i] - added.mean[i];
-    const float variance = present.variance[i] + added.variance[i];
-    if (room < 0 || room * room < square_z * variance) {
-      return false;
-    }
+    const float variance = std::max(0.0F, occupancy.variance[i]);
+    peak = std::max(peak, occupancy.mean[i] + deviations * std::sqrt(variance));
   }
-  return true;
+  return peak;
+}
+
+double RaiseOfPeak(const Occupancy& present, const Occupancy& added, double z) {
+  Occupancy both = present;
+  both += added;
+  return PeakTokens(both, z) - PeakTokens(present, z);
 }
 
 }  // namespace dandelion::admission
--- a/src/admission/occupancy.h
+++ b/src/admission/occupancy.h
@@ -27,11 +27,10 @@
 /// still runs `kGrid[i]` tokens from now; `context` counts its tokens now.
 Occupancy OccupancyOf(const GridValues& survival, int64_t context);
 
-/// Whether mean + z standard deviations of `present` and `added` together stay
-/// within `limit` tokens at every grid point.
-bool StaysWithin(const Occupancy& present,
-                 const Occupancy& added,
-                 double z,
-                 double limit);
+/// The highest of mean + z standard deviations over the grid, in tokens.
+double PeakTokens(const Occupancy& occupancy, double z);
+
+/// By how much `added` raises the peak of `present`, in tokens.
+double RaiseOfPeak(const Occupancy& present, const Occupancy& added, double z);
 
 }  // namespace dandelion::admission
--- a/src/admission/slot_holder.cc
+++ b/src/admission/slot_holder.cc
@@ -1,6 +1,7 @@
 #include "admission/slot_holder.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace dandelion::admission {
@@ -42,6 +43,24 @@
   lease.failures += ended == Ended::kBadly ? 1 : 0;
 }
 
+std::optional<double> SlotHolder::RoomLeft(const UpstreamId& upstream) const {
+  const Lease* lease = Find(upstream);
+  return lease == nullptr ? std::nullopt : lease->room;
+}
+
+void SlotHolder::UseRoom(const UpstreamId& upstream, double tokens) {
+  constexpr double kWeight = 0.02;
+  usual_room_ += kWeight * (tokens - usual_room_);
+  Lease& lease = leases_[upstream];
+  if (lease.room) {
+    *lease.room -= tokens;
+  }
+}
+
+void SlotHolder::NeedRoom(const UpstreamId& upstream, double tokens) {
+  leases_[upstream].room_needed = tokens;
+}
+
 void SlotHolder::SetQueued(const UpstreamId& upstream, int64_t queued) {
   leases_[upstream].queued = queued;
 }
@@ -54,6 +73,10 @@
   ask.needed = Slots(lease.in_flight + lease.queued);
   ask.spare = Slots(spare);
   ask.holding = Slots(Valid(lease));
+  ask.room_needed =
+      base::Tokens(static_cast<int64_t>(std::ceil(lease.room_needed)));
+  const auto requests = static_cast<double>(2 + lease.queued);
+  ask.room_spare = base::Tokens(static_cast<int64_t>(requests * usual_room_));
   ask.successes = std::exchange(lease.successes, 0);
   ask.failures = std::exchange(lease.failures, 0);
   return ask;
@@ -76,6 +99,10 @@
     lease.expires = opened->second.asked + grant.ttl;
     lease.others = grant.others;
     lease.report = grant.report;
+    lease.room.reset();
+    if (grant.room) {
+      lease.room = static_cast<double>(grant.room->count());
+    }
   }
   return true;
 }
--- a/src/admission/slot_holder.h
+++ b/src/admission/slot_holder.h
@@ -23,7 +23,15 @@
   enum class Ended { kWell, kBadly, kNeutral };
   void Release(const base::UpstreamId& upstream, Ended ended);
 
-  /// Notes one more request or one fewer that waits for this upstream.
+  /// Room left to raise the upstream's predicted memory by; empty if there is
+  /// no limit.
+  std::optional<double> RoomLeft(const base::UpstreamId& upstream) const;
+  /// Notes that a placed request raised the predicted peak by `tokens`.
+  void UseRoom(const base::UpstreamId& upstream, double tokens);
+  /// Room that the first waiting request needs there; 0 for none.
+  void NeedRoom(const base::UpstreamId& upstream, double tokens);
+
+  /// Notes how many requests wait for this upstream.
   void SetQueued(const base::UpstreamId& upstream, int64_t queued);
 
   /// The ask for the next round; counts of ended requests start anew.
@@ -53,6 +61,8 @@
     int64_t failures = 0;
     std::optional<UpstreamReport> report;
     Occupancy others;
+    std::optional<double> room;
+    double room_needed = 0;
   };
   struct Round {
     uint64_t number = 0;
@@ -63,6 +73,8 @@
   int64_t Valid(const Lease& lease) const;
 
   base::Clock clock_;
+  /// What one request takes of the room on average, in tokens.
+  double usual_room_ = 1000;
   std::map<base::UpstreamId, Lease> leases_;
   std::map<base::HostId, Round> rounds_;
 };
--- a/src/admission/slot_owner.cc
+++ b/src/admission/slot_owner.cc
@@ -68,6 +68,10 @@
       report.reachable && report.incarnation != ledger.report.incarnation;
   const bool lost = !report.reachable && ledger.report.reachable;
   const bool first = ledger.report.incarnation.empty();
+  if (!first && !restarted && hooks_.corrects_z &&
+      report.preemptions > ledger.report.preemptions) {
+    ledger.z = std::min(kMostZ, ledger.z + kZPerPreemption);
+  }
   if (!report.reachable) {
     // The incarnation last seen still decides whether a later one is new.
     report.incarnation = ledger.report.incarnation;
@@ -122,6 +126,8 @@
   if (ledger.report.cold || !ledger.report.reachable) {
     return;
   }
+  ledger.z = std::max(
+      kUsualZ, ledger.z - kZPerSuccess * static_cast<double>(ask.successes));
   ledger.successes += ask.successes;
   if (ledger.successes >= ledger.budget) {
     ledger.budget = std::min(ledger.limits.warm.count(), 2 * ledger.budget);
@@ -195,12 +201,51 @@
   }
   grant.slots = Slots(slots);
   grant.report = ledger.report;
+  grant.room = RoomFor(ledger, holder, ask);
+  holding.room = grant.room ? grant.room->count() : 0;
   // The holder honours its old lease until this answer reaches it.
   holding.committed =
       std::max({slots, ask.holding.count(), ask.in_flight.count()});
   return grant;
 }
 
+std::optional<base::Tokens> SlotOwner::RoomFor(const Ledger& ledger,
+                                               const HostId& holder,
+                                               const SlotAsk& ask) const {
+  if (ledger.report.memory_total <= 0) {
+    return std::nullopt;
+  }
+  Occupancy total;
+  double promised = 0;
+  for (const auto& [id, holding] : ledger.holdings) {
+    total += holding.ask.occupancy;
+    if (id != holder && hooks_.reserves_room) {
+      promised += static_cast<double>(holding.room);
+    }
+  }
+  const auto needed = static_cast<double>(ask.room_needed.count());
+  const auto spare = static_cast<double>(ask.room_spare.count());
+  if (total.mean[0] < 1 && promised < 1) {
+    // An idle upstream takes any request: none other could do better.
+    return base::Tokens(static_cast<int64_t>(std::max(needed, spare)));
+  }
+  const double limit =
+      static_cast<double>(ledger.report.memory_total) * (1 - kShortReserve);
+  // What the report has and no holder explains, such as resumed streams.
+  const double unexplained = std::max(
+      0.0, static_cast<double>(ledger.report.memory_used) - total.mean[0]);
+  const double room =
+      limit - PeakTokens(total, ledger.z) - unexplained / 2 - promised;
+  const double plenty = room - kRoomKeptForWaiting * limit;
+  if (needed > 0) {
+    // A part of what is needed would only keep others out.
+    const double more = std::clamp(plenty - needed, 0.0, spare);
+    return base::Tokens(room >= needed ? static_cast<int64_t>(needed + more)
+                                       : 0);
+  }
+  return base::Tokens(static_cast<int64_t>(std::clamp(plenty, 0.0, spare)));
+}
+
 Slots SlotOwner::Budget(const UpstreamId& upstream) const {
   const auto found = ledgers_.find(upstream);
   return Slots(found == ledgers_.end() ? 0 : found->second.budget);
--- a/src/admission/slot_owner.h
+++ b/src/admission/slot_owner.h
@@ -37,6 +37,10 @@
   int64_t successes = 0;
   int64_t failures = 0;
   Occupancy occupancy;
+  /// Memory that the first waiting request needs; less would be of no use.
+  base::Tokens room_needed;
+  /// Memory for requests that may come before the next ask.
+  base::Tokens room_spare;
 };
 
 /// The answer to one ask.
@@ -47,6 +51,9 @@
   UpstreamReport report;
   /// What all holders but the asking one have on the upstream.
   Occupancy others;
+  /// By how much the holder may raise the predicted peak of the memory until
+  /// its next grant. Empty if the upstream reports no memory.
+  std::optional<base::Tokens> room;
 };
 
 /// Slots of one upstream as the tables give them.
@@ -61,6 +68,16 @@
 class SlotOwner {
  public:
   static constexpr base::Millis kLeaseTtl{2500};
+  /// Standard deviations kept free: raised by each report of preemptions,
+  /// lowered again by successes.
+  static constexpr double kUsualZ = 2.0;
+  static constexpr double kMostZ = 3.5;
+  static constexpr double kZPerPreemption = 0.25;
+  static constexpr double kZPerSuccess = 0.01;
+  /// Share of the memory that long requests leave to short ones.
+  static constexpr double kShortReserve = 0.05;
+  /// Holders without waiting requests get room only beyond this share.
+  static constexpr double kRoomKeptForWaiting = 0.15;
 
   /// Replaces naive behaviour in tests that expect the violation.
   struct Hooks {
@@ -71,6 +88,10 @@
     bool waits_out_leases = true;
     /// Whether a just started upstream begins at its cold limit.
     bool starts_cold = true;
+    /// Whether room that others were granted is left alone.
+    bool reserves_room = true;
+    /// Whether observed preemptions correct the risk.
+    bool corrects_z = true;
   };
 
   SlotOwner(base::Clock clock, Hooks hooks);
@@ -109,6 +130,8 @@
     base::Millis expires;
     uint64_t round = 0;
     SlotAsk ask;
+    /// Room of the last grant, which the holder's occupancy may not show yet.
+    int64_t room = 0;
   };
   struct Ledger {
     SlotLimits limits;
@@ -120,8 +143,13 @@
     /// Slots of lapsed holders whose requests may still run, and since when.
     int64_t orphans = 0;
     base::Millis orphaned_at;
+    /// Standard deviations of the predicted memory that are kept free.
+    double z = kUsualZ;
   };
 
+  std::optional<base::Tokens> RoomFor(const Ledger& ledger,
+                                      const base::HostId& holder,
+                                      const SlotAsk& ask) const;
   void Lapse(Ledger& ledger);
   void TurnCold(Ledger& ledger);
   void Grow(Ledger& ledger, const SlotAsk& ask);
--- a/src/admission/slot_service.cc
+++ b/src/admission/slot_service.cc
@@ -1,5 +1,7 @@
 #include "admission/slot_service.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -54,6 +56,8 @@
   out->set_holding(ask.holding.count());
   out->set_successes(ask.successes);
   out->set_failures(ask.failures);
+  out->set_room_needed(ask.room_needed.count());
+  out->set_room_spare(ask.room_spare.count());
   // Idle holders have nothing to add.
   if (ask.in_flight > Slots(0)) {
     ToProto(ask.occupancy, out->mutable_occupancy());
@@ -69,6 +73,8 @@
   ask.holding = Slots(in.holding());
   ask.successes = in.successes();
   ask.failures = in.failures();
+  ask.room_needed = base::Tokens(in.room_needed());
+  ask.room_spare = base::Tokens(in.room_spare());
   ask.occupancy = FromProto(in.occupancy());
   return ask;
 }
@@ -77,6 +83,9 @@
   out->set_upstream(grant.upstream.value());
   out->set_slots(grant.slots.count());
   out->set_ttl_ms(grant.ttl.count());
+  if (grant.room) {
+    out->set_room(grant.room->count());
+  }
   if (grant.others.mean[0] > 0) {
     ToProto(grant.others, out->mutable_others());
   }
@@ -99,6 +108,9 @@
   grant.slots = Slots(in.slots());
   grant.ttl = Millis(in.ttl_ms());
   grant.others = FromProto(in.others());
+  if (in.has_room()) {
+    grant.room = base::Tokens(in.room());
+  }
   const proto::UpstreamReport& report = in.report();
   grant.report.incarnation = base::Incarnation(report.incarnation());
   grant.report.reachable = report.reachable();
@@ -302,6 +314,13 @@
 SlotAsk SlotService::MakeAsk(const Upstream& upstream) {
   const bool usable = tables_->InService(upstream);
   holder_.SetQueued(upstream.id, usable ? hooks_.queued(upstream) : 0);
+  // Asking for the same room everywhere would keep it from others: turn by
+  // turn, each upstream of the pool is asked.
+  const uint64_t turn = last_round_ + XXH3_64bits(upstream.id.value().data(),
+                                                  upstream.id.value().size());
+  const bool asks_room = turn % kRoomTurns == 0;
+  holder_.NeedRoom(upstream.id,
+                   usable && asks_room ? hooks_.room_needed(upstream) : 0);
   SlotAsk ask = holder_.MakeAsk(upstream.id, usable ? kSpareSlots : 0);
   ask.occupancy = hooks_.occupancy(upstream.id);
   return ask;
--- a/src/admission/slot_service.h
+++ b/src/admission/slot_service.h
@@ -27,6 +27,8 @@
   /// An answer that takes longer is given up, and asked for again.
   static constexpr base::Millis kRoundTimeout{1000};
   static constexpr int64_t kSpareSlots = 2;
+  /// In each round, about one of so many upstreams is asked for room.
+  static constexpr uint64_t kRoomTurns = 3;
   /// Upstreams of one pool that a daemon leases from in its data centre.
   static constexpr size_t kFanOut = 48;
 
@@ -41,6 +43,8 @@
     /// Requests that wait for this upstream's pool, shared out over the
     /// upstreams that could take them.
     std::function<int64_t(const config::Upstream&)> queued;
+    /// Memory that the first waiting request of the pool needs; 0 for none.
+    std::function<double(const config::Upstream&)> room_needed;
     /// This daemon's predicted memory on an upstream.
     std::function<Occupancy(const base::UpstreamId&)> occupancy;
     /// Whether requests of this daemon may go to another data centre's
--- a/src/kernel/daemon.cc
+++ b/src/kernel/daemon.cc
@@ -311,6 +311,9 @@
     hooks.queued = [this](const config::Upstream& upstream) {
       return dispatcher_.QueuedFor(upstream);
     };
+    hooks.room_needed = [this](const config::Upstream& upstream) {
+      return dispatcher_.RoomNeeded(upstream);
+    };
     hooks.occupancy = [this](const base::UpstreamId& upstream) {
       return dispatcher_.OccupancyOn(upstream);
     };
--- a/src/routing/choice.cc
+++ b/src/routing/choice.cc
@@ -4,6 +4,8 @@
 #include <limits>
 #include <string_view>
 
+#include "admission/slot_owner.h"
+
 namespace dandelion::routing {
 namespace {
 
@@ -13,25 +15,19 @@
 constexpr double kWaitingMs = 40;
 constexpr double kPrefillMsPerToken = 0.03;
 
-// Occupied tokens that the prediction has missed, by the lagged report.
-double Unexplained(const Candidate& candidate) {
-  const double predicted = candidate.occupancy.mean[0];
-  return std::max(0.0, static_cast<double>(candidate.memory_used) - predicted);
+constexpr std::string_view kNoRoom = "memory would fill";
+
+double RaiseOf(const admission::Occupancy& own, const Candidate& candidate) {
+  return admission::RaiseOfPeak(candidate.occupancy, own,
+                                admission::SlotOwner::kUsualZ);
 }
 
 bool FitsMemory(const ChoiceRequest& request,
                 const admission::Occupancy& own,
                 const Candidate& candidate) {
-  if (candidate.memory_total <= 0) {
-    return true;
-  }
-  const double reserve = request.is_short ? 0 : kShortReserve;
-  const double limit =
-      static_cast<double>(candidate.memory_total) * (1 - reserve) -
-      Unexplained(candidate) / 2;
-  // An idle engine takes any request: none other could do better.
-  return candidate.occupancy.mean[0] < 1 ||
-         admission::StaysWithin(candidate.occupancy, own, candidate.z, limit);
+  // Short requests go into the reserve that owners keep for them.
+  return request.is_short || !candidate.room ||
+         RaiseOf(own, candidate) <= *candidate.room;
 }
 
 std::string_view RefusalOf(const ChoiceRequest& request,
@@ -44,7 +40,7 @@
     return "no free slot";
   }
   if (!FitsMemory(request, own, candidate)) {
-    return "memory would fill";
+    return kNoRoom;
   }
   return {};
 }
@@ -85,6 +81,12 @@
       best = cost;
       cheapest = &candidate;
     }
+    if (refusal == kNoRoom) {
+      // The margin covers what changes before the room is granted.
+      constexpr double kMargin = 1.05;
+      choice.room_needed =
+          std::max(choice.room_needed, kMargin * RaiseOf(own, candidate));
+    }
     if (explain) {
       choice.scores.push_back(
           Score{candidate.id, refusal.empty(), std::string(refusal), cost});
@@ -92,6 +94,7 @@
   }
   if (cheapest != nullptr) {
     choice.chosen = cheapest->id;
+    choice.raise = RaiseOf(own, *cheapest);
   }
   return choice;
 }
--- a/src/routing/choice.h
+++ b/src/routing/choice.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,13 +27,12 @@
   admission::Occupancy occupancy;
   /// From the lagged report; 0 if the upstream reports no memory.
   int64_t memory_total = 0;
-  int64_t memory_used = 0;
+  /// By how much this daemon may raise the predicted peak; empty for no limit.
+  std::optional<double> room;
   /// Requests that wait inside the engine, from the lagged report.
   int64_t waiting = 0;
   /// Tokens of the prompt whose state the engine is likely to have cached.
   int64_t cached_tokens = 0;
-  /// Standard deviations kept free, corrected by observed preemptions.
-  double z = 2;
   /// Recent failures; the circuit lets only probes through while open.
   bool circuit_open = false;
 };
@@ -46,9 +46,6 @@
   double expected_tokens = 1;
 };
 
-/// Share of the memory that long requests leave free for short ones.
-inline constexpr double kShortReserve = 0.03;
-
 /// One candidate's verdict, for the choice and for its explanation.
 struct Score {
   base::UpstreamId id;
@@ -63,6 +60,10 @@
 struct Choice {
   /// Empty if no candidate admits the request now.
   base::UpstreamId chosen;
+  /// By how much the request raises the chosen upstream's predicted peak.
+  double raise = 0;
+  /// If none was chosen: room that suffices at any upstream that only lacks it.
+  double room_needed = 0;
   std::vector<Score> scores;
 };
 
--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -127,7 +127,7 @@
   candidate.first_token_ms = model.first_token_ms();
   candidate.occupancy = model.occupancy();
   candidate.occupancy += slots_.OthersOn(upstream.id);
-  candidate.z = model.z();
+  candidate.room = slots_.RoomLeft(upstream.id);
   candidate.circuit_open = model.CircuitOpen(clock_.Now());
   candidate.cached_tokens = model.HasPrefix(request.prefix)
                                 ? std::min(kPrefixTokens, request.prompt_tokens)
@@ -135,9 +135,7 @@
   if (const admission::UpstreamReport* report = slots_.ReportOf(upstream.id)) {
     candidate.cold = report->cold;
     candidate.memory_total = report->memory_total;
-    candidate.memory_used = report->memory_used;
     candidate.waiting = report->waiting;
-    model.ObservePreemptions(report->preemptions, report->incarnation);
   }
   return candidate;
 }
@@ -158,9 +156,12 @@
   }
   const Choice choice = Choose(Describe(request), candidates, true);
   if (choice.chosen.empty()) {
+    double& needed = QueueOf(request.route.pool).room_needed;
+    needed = needed == 0 ? choice.room_needed : needed;
     return nullptr;
   }
   Explain(request, choice);
+  slots_.UseRoom(choice.chosen, choice.raise);
   return Take(request, tables_->upstreams.at(choice.chosen));
 }
 
@@ -255,6 +256,7 @@
   const absl::Cleanup done = [this] { pumping_ = false; };
   for (auto& [pool, queue] : queues_) {
     PoolQueue& current = *queue;
+    current.room_needed = 0;
     current.fair.Pump([&](const admission::Waiter& waiter) {
       Pending& pending = *current.pending.at(waiter.ticket);
       pending.placement = TryPlace(*pending.request);
@@ -303,6 +305,12 @@
   return (waiting + upstreams - 1) / upstreams;
 }
 
+double Dispatcher::RoomNeeded(const Upstream& upstream) const {
+  const auto queue = queues_.find(upstream.pool);
+  const bool waits = queue != queues_.end() && queue->second->fair.size() > 0;
+  return waits ? queue->second->room_needed : 0;
+}
+
 bool Dispatcher::WantsRemote(const Upstream& upstream) const {
   if (!tables_ || !tables_->InService(upstream)) {
     return false;
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -94,6 +94,8 @@
   void ObserveLength(const WorkRequest& request, int64_t tokens);
 
   int64_t QueuedFor(const config::Upstream& upstream) const;
+  /// Memory that the pool's first waiting request needs; 0 if none waits.
+  double RoomNeeded(const config::Upstream& upstream) const;
   bool WantsRemote(const config::Upstream& upstream) const;
   admission::Occupancy OccupancyOn(const base::UpstreamId& upstream);
   size_t queued() const;
@@ -115,6 +117,8 @@
     explicit PoolQueue(size_t most) : fair(most) {}
     admission::FairQueue fair;
     std::map<uint64_t, Pending*> pending;
+    /// What the first request that found no room needs.
+    double room_needed = 0;
   };
 
   PoolQueue& QueueOf(const base::PoolName& pool);
--- a/src/routing/upstream_model.cc
+++ b/src/routing/upstream_model.cc
@@ -12,20 +12,40 @@
   return old_value + kEwmaWeight * (sample - old_value);
 }
 
+admission::Occupancy ShareOf(const OwnGeneration& generation,
+                             const admission::LengthModel& lengths) {
+  const int64_t context = generation.prompt_tokens + generation.made;
+  if (generation.output_tokens == 0) {
+    return admission::OccupancyOf(
+        lengths.Survival(generation.group, generation.made), context);
+  }
+  admission::GridValues survival{};
+  const int64_t remaining = generation.output_tokens - generation.made;
+  for (size_t i = 0; i < admission::kGrid.size(); ++i) {
+    survival[i] = admission::kGrid[i] < remaining ? 1.0F : 0.0F;
+  }
+  return admission::OccupancyOf(survival, context);
+}
+
 }  // namespace
 
 void UpstreamModel::Add(uint64_t key,
                         OwnGeneration generation,
                         const admission::LengthModel& lengths) {
   Entry entry;
-  entry.share = admission::OccupancyOf(
-      lengths.Survival(generation.group, generation.made),
-      generation.prompt_tokens + generation.made);
+  entry.share = ShareOf(generation, lengths);
   entry.generation = std::move(generation);
   sum_ += entry.share;
   generations_[key] = std::move(entry);
 }
 
+void UpstreamModel::AddKnown(uint64_t key,
+                             int64_t prompt_tokens,
+                             int64_t output_tokens) {
+  static const admission::LengthModel none;
+  Add(key, OwnGeneration{{}, prompt_tokens, 0, output_tokens}, none);
+}
+
 void UpstreamModel::MadeToken(uint64_t key, int64_t made) {
   const auto found = generations_.find(key);
   if (found != generations_.end()) {
@@ -45,10 +65,7 @@
   // Summed anew, so that rounding errors do not pile up.
   sum_ = admission::Occupancy();
   for (auto& [key, entry] : generations_) {
-    const OwnGeneration& generation = entry.generation;
-    entry.share = admission::OccupancyOf(
-        lengths.Survival(generation.group, generation.made),
-        generation.prompt_tokens + generation.made);
+    entry.share = ShareOf(entry.generation, lengths);
     sum_ += entry.share;
   }
 }
@@ -65,9 +82,7 @@
 }
 
 void UpstreamModel::ObserveSuccess() {
-  constexpr double kZDecay = 0.01;
   failures_ = 0;
-  z_ = std::max(kUsualZ, z_ - kZDecay);
 }
 
 void UpstreamModel::ObserveFailure(base::Millis now) {
@@ -75,16 +90,6 @@
   failed_at_ = now;
 }
 
-void UpstreamModel::ObservePreemptions(int64_t total,
-                                       const base::Incarnation& incarnation) {
-  constexpr double kZStep = 0.25;
-  if (incarnation == incarnation_ && total > preemptions_) {
-    z_ = std::min(kMostZ, z_ + kZStep);
-  }
-  incarnation_ = incarnation;
-  preemptions_ = total;
-}
-
 bool UpstreamModel::CircuitOpen(base::Millis now) const {
   return failures_ >= kFailuresToOpen && now - failed_at_ < kProbeInterval;
 }
--- a/src/routing/upstream_model.h
+++ b/src/routing/upstream_model.h
@@ -17,6 +17,8 @@
   admission::LengthGroup group;
   int64_t prompt_tokens = 0;
   int64_t made = 0;
+  /// Known beforehand; 0 if it must be predicted.
+  int64_t output_tokens = 0;
 };
 
 /// What this daemon has learned of one upstream: its speed, its failures, the
@@ -27,13 +29,13 @@
   /// After this many failures in a row the circuit opens.
   static constexpr int kFailuresToOpen = 3;
   static constexpr base::Millis kProbeInterval{1000};
-  static constexpr double kUsualZ = 2.0;
-  static constexpr double kMostZ = 3.5;
 
   /// Adds a generation; `key` is the caller's own.
   void Add(uint64_t key,
            OwnGeneration generation,
            const admission::LengthModel& lengths);
+  /// Adds a generation whose length is known beforehand.
+  void AddKnown(uint64_t key, int64_t prompt_tokens, int64_t output_tokens);
   void MadeToken(uint64_t key, int64_t made);
   void Remove(uint64_t key);
   /// Predicts anew from what the generations have made since.
@@ -43,8 +45,6 @@
   void ObserveFirstToken(double ms, int64_t computed_tokens);
   void ObserveSuccess();
   void ObserveFailure(base::Millis now);
-  /// Corrects the memory kept free by the preemptions that reports count.
-  void ObservePreemptions(int64_t total, const base::Incarnation& incarnation);
 
   /// Whether the circuit lets a request through; a probe is let through from
   /// time to time.
@@ -56,7 +56,6 @@
   const admission::Occupancy& occupancy() const { return sum_; }
   double token_ms() const { return token_ms_; }
   double first_token_ms() const { return first_token_ms_; }
-  double z() const { return z_; }
 
  private:
   struct Entry {
@@ -69,11 +68,8 @@
   admission::Occupancy sum_;
   double token_ms_ = 30;
   double first_token_ms_ = 60;
-  double z_ = kUsualZ;
   int failures_ = 0;
   base::Millis failed_at_;
-  int64_t preemptions_ = 0;
-  base::Incarnation incarnation_;
   std::list<uint64_t> prefixes_;
 };
 
--- a/standin/engine_model.cc
+++ b/standin/engine_model.cc
@@ -49,7 +49,10 @@
   while (step_end_ms_ >= 0 && step_end_ms_ <= now_ms) {
     const double end = step_end_ms_;
     EndStep();
-    StartStep(end);
+    // A hook may have submitted a job and so started the next step.
+    if (step_end_ms_ < 0) {
+      StartStep(end);
+    }
   }
 }
 
@@ -196,9 +199,12 @@
   for (const uint64_t key : done) {
     Cancel(key);
     ++completed_;
-    hooks_.on_done(key, end);
   }
   PreemptUntilFits();
+  step_end_ms_ = -1;
+  for (const uint64_t key : done) {
+    hooks_.on_done(key, end);
+  }
 }
 
 void EngineModel::LoseAll(double now_ms) {
