--- a/src/admission/length_model.cc
+++ b/src/admission/length_model.cc
@@ -81,10 +81,26 @@
   }
 }
 
+// Before any sample, each bucket is a fifth less likely than the one before:
+// equal chances would make the mean thousands of tokens.
+LengthModel::Counts LengthModel::Prior() {
+  constexpr float kRatio = 0.8F;
+  Counts prior{};
+  float weight = 1 - kRatio;
+  for (float& share : prior) {
+    share = weight;
+    weight *= kRatio;
+  }
+  return prior;
+}
+
+double LengthModel::Samples(const LengthGroup& group) const {
+  const Histogram* route = Find(Levels(group)[1]);
+  return route == nullptr ? 0 : route->total;
+}
+
 LengthModel::Counts LengthModel::Mixed(const LengthGroup& group) const {
-  // Before any sample, all buckets are equally likely.
-  Counts mixed;
-  mixed.fill(1.0F / kBuckets);
+  Counts mixed = Prior();
   for (const uint64_t key : Levels(group)) {
     const Histogram* level = Find(key);
     if (level == nullptr) {
--- a/src/admission/length_model.h
+++ b/src/admission/length_model.h
@@ -44,6 +44,9 @@
   /// Length that a share `quantile` of outputs stays within.
   double Quantile(const LengthGroup& group, double quantile) const;
 
+  /// Samples of the group's route that still count.
+  double Samples(const LengthGroup& group) const;
+
   size_t groups() const { return index_.size(); }
 
  private:
@@ -61,6 +64,7 @@
   static int64_t UpperBound(size_t bucket);
   const Histogram* Find(uint64_t key) const;
   void Add(uint64_t key, int64_t tokens);
+  static Counts Prior();
   /// Bucket probabilities after mixing the levels.
   Counts Mixed(const LengthGroup& group) const;
   static float Beyond(const Counts& counts, double tokens);
--- a/src/admission/slot_holder.cc
+++ b/src/admission/slot_holder.cc
@@ -107,6 +107,10 @@
   return true;
 }
 
+void SlotHolder::Revoke(const UpstreamId& upstream) {
+  leases_[upstream].slots = 0;
+}
+
 const UpstreamReport* SlotHolder::ReportOf(const UpstreamId& upstream) const {
   const Lease* lease = Find(upstream);
   return lease != nullptr && lease->report ? &*lease->report : nullptr;
--- a/src/admission/slot_holder.h
+++ b/src/admission/slot_holder.h
@@ -44,6 +44,10 @@
                 uint64_t round,
                 const std::vector<SlotGrant>& grants);
 
+  /// Gives up free slots until the next grant: the upstream may have turned
+  /// cold, or restarted.
+  void Revoke(const base::UpstreamId& upstream);
+
   /// The newest report that came with a grant; null if none.
   const UpstreamReport* ReportOf(const base::UpstreamId& upstream) const;
   const Occupancy& OthersOn(const base::UpstreamId& upstream) const;
--- a/src/admission/slot_owner.cc
+++ b/src/admission/slot_owner.cc
@@ -119,8 +119,8 @@
 
 void SlotOwner::Grow(Ledger& ledger, const SlotAsk& ask) {
   if (ask.failures > 0) {
-    ledger.budget = std::max(ledger.limits.cold.count(), ledger.budget / 2);
-    ledger.successes = 0;
+    // It may have restarted; the report that says so comes later.
+    TurnCold(ledger);
     return;
   }
   if (ledger.report.cold || !ledger.report.reachable) {
--- a/src/admission/slot_owner.h
+++ b/src/admission/slot_owner.h
@@ -67,7 +67,7 @@
 /// what the upstream can bear, on each side of a split by its share.
 class SlotOwner {
  public:
-  static constexpr base::Millis kLeaseTtl{2500};
+  static constexpr base::Millis kLeaseTtl{1600};
   /// Standard deviations kept free: raised by each report of preemptions,
   /// lowered again by successes.
   static constexpr double kUsualZ = 2.0;
--- a/src/admission/slot_service.cc
+++ b/src/admission/slot_service.cc
@@ -237,7 +237,11 @@
   }
   const UpstreamReport before = *known;
   const UpstreamReport now = report.ok() ? *report : UpstreamReport();
+  const Slots budget = owner_.Budget(id);
   owner_.OnReport(id, now);
+  if (owner_.Budget(id) < budget) {
+    Revoke(id);
+  }
   if (before.reachable != now.reachable) {
     Emit(now.reachable ? Event::kUpstreamContact : Event::kUpstreamLost,
          {{"upstream", id.value()},
@@ -254,6 +258,22 @@
   }
 }
 
+// Leases were given for what the upstream bore before: every holder gives
+// its free slots up and asks anew.
+void SlotService::Revoke(const UpstreamId& id) {
+  proto::Envelope message;
+  message.mutable_slot_revoke()->set_upstream(id.value());
+  for (const HostId& host : membership_.Up()) {
+    hooks_.send(host, message);
+  }
+  OnRevoke(message.slot_revoke());
+}
+
+void SlotService::OnRevoke(const proto::SlotRevoke& revoke) {
+  holder_.Revoke(UpstreamId(revoke.upstream()));
+  Hurry();
+}
+
 std::map<HostId, std::vector<const Upstream*>> SlotService::GroupByOwner()
     const {
   std::map<HostId, std::vector<const Upstream*>> groups;
@@ -278,6 +298,7 @@
   if (!tables_) {
     return;
   }
+  ++turns_;
   for (const auto& [owner, upstreams] : GroupByOwner()) {
     AskOwner(owner, upstreams);
   }
@@ -316,8 +337,8 @@
   holder_.SetQueued(upstream.id, usable ? hooks_.queued(upstream) : 0);
   // Asking for the same room everywhere would keep it from others: turn by
   // turn, each upstream of the pool is asked.
-  const uint64_t turn = last_round_ + XXH3_64bits(upstream.id.value().data(),
-                                                  upstream.id.value().size());
+  const uint64_t turn = turns_ + XXH3_64bits(upstream.id.value().data(),
+                                             upstream.id.value().size());
   const bool asks_room = turn % kRoomTurns == 0;
   holder_.NeedRoom(upstream.id,
                    usable && asks_room ? hooks_.room_needed(upstream) : 0);
@@ -331,7 +352,12 @@
                              const SlotAsk& ask) {
   const membership::Visibility seen =
       membership_.VisibilityOf(membership_.self().data_centre);
-  return owner_.OnAsk(holder, round, ask, seen.visible, seen.roster);
+  const Slots budget = owner_.Budget(ask.upstream);
+  SlotGrant grant = owner_.OnAsk(holder, round, ask, seen.visible, seen.roster);
+  if (owner_.Budget(ask.upstream) < budget) {
+    Revoke(ask.upstream);
+  }
+  return grant;
 }
 
 void SlotService::OnRequest(const HostId& from,
--- a/src/admission/slot_service.h
+++ b/src/admission/slot_service.h
@@ -20,7 +20,7 @@
 /// those that this daemon owns, and polls their load reports.
 class SlotService {
  public:
-  static constexpr base::Millis kRoundInterval{700};
+  static constexpr base::Millis kRoundInterval{500};
   /// A daemon with waiting requests asks sooner.
   static constexpr base::Millis kHurriedInterval{50};
   static constexpr base::Millis kPollInterval{250};
@@ -63,6 +63,7 @@
 
   void OnTables(std::shared_ptr<const config::Tables> tables);
   void OnRequest(const base::HostId& from, const proto::SlotRequest& request);
+  void OnRevoke(const proto::SlotRevoke& revoke);
   void OnAnswer(const base::HostId& from, const proto::SlotAnswer& answer);
   /// Asks as soon as the hurried interval allows.
   void Hurry();
@@ -91,6 +92,7 @@
                   uint64_t round,
                   const SlotAsk& ask);
   base::Task<void> Poll(base::UpstreamId id);
+  void Revoke(const base::UpstreamId& id);
   void NoteReport(const base::UpstreamId& id,
                   const absl::StatusOr<UpstreamReport>& report);
 
@@ -106,6 +108,7 @@
   std::set<base::UpstreamId> polled_;
   std::map<base::HostId, OpenRound> rounds_;
   uint64_t last_round_ = 0;
+  uint64_t turns_ = 0;
   boost::asio::steady_timer wake_;
   base::Millis asked_at_;
   bool hurry_ = false;
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -228,7 +228,7 @@
         handler_(std::move(handler)),
         acceptor_(executor) {}
 
-  absl::Status Listen(const tcp::endpoint& endpoint) {
+  absl::Status Bind(const tcp::endpoint& endpoint) {
     boost::system::error_code error;
     acceptor_.open(endpoint.protocol(), error);
     if (!error) {
@@ -237,18 +237,20 @@
     if (!error) {
       acceptor_.bind(endpoint, error);
     }
-    if (!error) {
-      acceptor_.listen(asio::socket_base::max_listen_connections, error);
-    }
     if (error) {
-      return base::MakeError(
-          ErrorKind::kInvalidSettings,
-          "cannot listen at " + endpoint.address().to_string() + ":" +
-              std::to_string(endpoint.port()) + ": " + error.message(),
-          "choose a free address in the settings");
+      return Unusable(endpoint, error);
     }
     port_ = acceptor_.local_endpoint().port();
-    base::Spawn(executor_, Accept(shared_from_this()));
+    return absl::OkStatus();
+  }
+
+  absl::Status Accept() {
+    boost::system::error_code error;
+    acceptor_.listen(asio::socket_base::max_listen_connections, error);
+    if (error) {
+      return Unusable(acceptor_.local_endpoint(), error);
+    }
+    base::Spawn(executor_, AcceptLoop(shared_from_this()));
     return absl::OkStatus();
   }
 
@@ -296,9 +298,18 @@
   void AnnounceClose() { closing_ = true; }
 
  private:
+  static absl::Status Unusable(const tcp::endpoint& endpoint,
+                               const boost::system::error_code& error) {
+    return base::MakeError(
+        ErrorKind::kInvalidSettings,
+        "cannot listen at " + endpoint.address().to_string() + ":" +
+            std::to_string(endpoint.port()) + ": " + error.message(),
+        "choose a free address in the settings");
+  }
+
   // The frames below own `self`, so that a connection outlives the server
   // object until it has been closed.
-  static Task<void> Accept(std::shared_ptr<Impl> self) {
+  static Task<void> AcceptLoop(std::shared_ptr<Impl> self) {
     while (self->acceptor_.is_open()) {
       auto [error, socket] = co_await self->acceptor_.async_accept(kNoThrow);
       if (error == asio::error::operation_aborted) {
@@ -365,8 +376,15 @@
   impl_->StopAccepting();
   impl_->CloseAll();
 }
+absl::Status Server::Bind(const tcp::endpoint& endpoint) {
+  return impl_->Bind(endpoint);
+}
+absl::Status Server::Accept() {
+  return impl_->Accept();
+}
 absl::Status Server::Listen(const tcp::endpoint& endpoint) {
-  return impl_->Listen(endpoint);
+  const absl::Status bound = Bind(endpoint);
+  return bound.ok() ? Accept() : bound;
 }
 unsigned short Server::port() const {
   return impl_->port();
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -58,7 +58,12 @@
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
 
-  /// Binds to `endpoint` and starts to accept. Port 0 takes a free port.
+  /// Binds to `endpoint`; connections are refused until `Accept`. Port 0 takes
+  /// a free port.
+  absl::Status Bind(const boost::asio::ip::tcp::endpoint& endpoint);
+  /// Starts to accept.
+  absl::Status Accept();
+  /// Binds and accepts.
   absl::Status Listen(const boost::asio::ip::tcp::endpoint& endpoint);
   unsigned short port() const;
 
--- a/src/kernel/daemon.cc
+++ b/src/kernel/daemon.cc
@@ -171,7 +171,7 @@
                   {[this] { return admin_server_.Listen(settings_.admin); },
                    [this] { admin_server_.StopAccepting(); }});
     registry_.Add("entry", &entry_server_,
-                  {[this] { return entry_server_.Listen(settings_.listen); },
+                  {[this] { return entry_server_.Bind(settings_.listen); },
                    [this] { entry_server_.StopAccepting(); }});
   }
 
@@ -228,6 +228,9 @@
       case proto::Envelope::kSlotAnswer:
         slots_.OnAnswer(from, message.slot_answer());
         break;
+      case proto::Envelope::kSlotRevoke:
+        slots_.OnRevoke(message.slot_revoke());
+        break;
       case proto::Envelope::kConfigPull:
         Send(from, config_.OnPull(message.config_pull()));
         break;
@@ -258,6 +261,11 @@
       slots_.OnTables(tables);
       dispatcher_.OnTables(tables);
       if (first) {
+        // Callers are let in once there is something to route by.
+        const absl::Status open = entry_server_.Accept();
+        if (!open.ok()) {
+          Emit(Event::kStartFailed, {{"reason", std::string(open.message())}});
+        }
         Emit(Event::kDaemonReady,
              {{"version", absl::StrCat(tables->version.count())}});
       }
--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -204,8 +204,10 @@
       co_return placement;
     }
   }
-  if (PredictedWaitMs(request) >
-      static_cast<double>((request.deadline - clock_.Now()).count())) {
+  constexpr double kSamplesToRefuse = 20;
+  if (lengths_.Samples(GroupOf(request)) >= kSamplesToRefuse &&
+      PredictedWaitMs(request) >
+          static_cast<double>((request.deadline - clock_.Now()).count())) {
     co_return base::MakeError(ErrorKind::kOverloaded,
                               "the predicted wait passes the deadline",
                               "retry later, or allow more time");
@@ -278,6 +280,8 @@
     model.ObserveSuccess();
   } else if (ended == SlotHolder::Ended::kBadly) {
     model.ObserveFailure(clock_.Now());
+    slots_.Revoke(upstream);
+    hooks_.hurry();
   }
   Pump();
 }
