--- a/bench/policy/fleet.cc
+++ b/bench/policy/fleet.cc
@@ -55,6 +55,10 @@
   return params;
 }
 
+UpstreamId IdOf(int engine) {
+  return UpstreamId(absl::StrCat("engine-", engine));
+}
+
 /// Times in buckets of a millisecond.
 class Times {
  public:
@@ -104,6 +108,7 @@
   void Round();
   void OnToken(uint64_t key, double gap_ms);
   void OnEnd(uint64_t key, bool whole);
+  void Revoke(int engine) { slots_.Revoke(IdOf(engine)); }
   bool HasQueue() const { return queue_.size() > 0; }
   double next_round_ms = 0;
 
@@ -182,10 +187,6 @@
   size_t failure_step_ = 0;
 };
 
-UpstreamId IdOf(int engine) {
-  return UpstreamId(absl::StrCat("engine-", engine));
-}
-
 Dispatcher::Dispatcher(Fleet& fleet, int index)
     : next_round_ms(kRoundMs * index / kDaemons),
       fleet_(fleet),
@@ -412,6 +413,7 @@
                    static_cast<double>(job.entry->output_tokens) - expected);
   } else {
     model.ObserveFailure(Millis(static_cast<int64_t>(fleet_.now())));
+    slots_.Revoke(IdOf(job.engine));
   }
   Pump();
 }
@@ -536,7 +538,13 @@
     report.memory_total = reports_[i].memory_total;
     report.preemptions = reports_[i].preemptions;
     report.cold = reports_[i].cold;
+    const Slots budget = owner_->Budget(IdOf(i));
     owner_->OnReport(IdOf(i), report);
+    for (const auto& daemon : daemons_) {
+      if (owner_->Budget(IdOf(i)) < budget) {
+        daemon->Revoke(i);
+      }
+    }
   }
 }
 
--- a/src/admission/slot_owner.h
+++ b/src/admission/slot_owner.h
@@ -70,7 +70,7 @@
   static constexpr base::Millis kLeaseTtl{1600};
   /// Standard deviations kept free: raised by each report of preemptions,
   /// lowered again by successes.
-  static constexpr double kUsualZ = 2.0;
+  static constexpr double kUsualZ = 2.25;
   static constexpr double kMostZ = 3.5;
   static constexpr double kZPerPreemption = 0.25;
   static constexpr double kZPerSuccess = 0.01;
--- a/src/claims/claim_service.cc
+++ b/src/claims/claim_service.cc
@@ -79,6 +79,7 @@
   while (!outgoing_.empty()) {
     std::vector<Outgoing> batch = std::exchange(outgoing_, {});
     std::vector<ClaimStep> steps;
+    steps.reserve(batch.size());
     for (const Outgoing& entry : batch) {
       steps.push_back(entry.step);
     }
--- a/src/config/fold.cc
+++ b/src/config/fold.cc
@@ -136,12 +136,12 @@
   auto joined = std::make_shared<Tables>(*tables_);
   joined->version = version;
   for (const auto& [key, row] : changed) {
-    const absl::Status applied = ApplyRow(key, row.value, joined.get());
+    absl::Status applied = ApplyRow(key, row.value, joined.get());
     if (!applied.ok()) {
       return applied;
     }
   }
-  const absl::Status checked = CheckJoin(joined.get());
+  absl::Status checked = CheckJoin(joined.get());
   if (!checked.ok()) {
     return checked;
   }
--- a/src/config/rows.cc
+++ b/src/config/rows.cc
@@ -320,7 +320,8 @@
       routes.push_back(std::move(value));
     } else if (HasPrefix(key, kPool)) {
       value["upstreams"] = json::array();
-      pools[value.at("name")] = std::move(value);
+      const std::string name = value.at("name");
+      pools[name] = std::move(value);
     }
   }
   for (const auto& [key, row] : rows) {
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -222,7 +222,7 @@
 
 class Server::Impl : public std::enable_shared_from_this<Server::Impl> {
  public:
-  Impl(base::Executor executor, ServerLimits limits, Handler handler)
+  Impl(const base::Executor& executor, ServerLimits limits, Handler handler)
       : executor_(executor),
         limits_(limits),
         handler_(std::move(handler)),
--- a/src/kernel/daemon.cc
+++ b/src/kernel/daemon.cc
@@ -56,7 +56,7 @@
 
 class Daemon::Impl {
  public:
-  Impl(base::Executor executor, Settings settings)
+  Impl(const base::Executor& executor, Settings settings)
       : executor_(executor),
         settings_(std::move(settings)),
         clock_(base::Clock::Monotonic()),
--- a/standin/engine.cc
+++ b/standin/engine.cc
@@ -60,7 +60,7 @@
 
 class Engine : public std::enable_shared_from_this<Engine> {
  public:
-  Engine(base::Executor executor, const Json& options)
+  Engine(const base::Executor& executor, const Json& options)
       : clock_(base::Clock::Monotonic()),
         record_(clock_),
         timer_(executor),
