--- a/src/admission/slot_service.cc
+++ b/src/admission/slot_service.cc
@@ -24,7 +24,8 @@
 
 void ToProto(const Occupancy& occupancy, proto::Occupancy* out) {
   const auto blocks = [](float tokens) {
-    return static_cast<uint32_t>(std::max(0.0F, tokens) / kBlockTokens + 0.5F);
+    return static_cast<uint32_t>(
+        std::lround(std::max(0.0F, tokens) / kBlockTokens));
   };
   for (size_t i = 0; i < kGrid.size(); ++i) {
     out->add_mean(blocks(occupancy.mean[i]));
@@ -127,8 +128,8 @@
 
 }  // namespace
 
-SlotService::SlotService(base::Executor executor,
-                         base::Clock clock,
+SlotService::SlotService(const base::Executor& executor,
+                         const base::Clock& clock,
                          membership::Membership& membership,
                          Hooks hooks)
     : executor_(executor),
@@ -315,6 +316,7 @@
   holder_.OpenRound(owner, round.number);
   if (owner == membership_.self().id) {
     std::vector<SlotGrant> grants;
+    grants.reserve(upstreams.size());
     for (const Upstream* upstream : upstreams) {
       grants.push_back(Grant(owner, round.number, MakeAsk(*upstream)));
     }
--- a/src/admission/slot_service.h
+++ b/src/admission/slot_service.h
@@ -52,8 +52,8 @@
     std::function<bool(const config::Upstream&)> wants_remote;
   };
 
-  SlotService(base::Executor executor,
-              base::Clock clock,
+  SlotService(const base::Executor& executor,
+              const base::Clock& clock,
               membership::Membership& membership,
               Hooks hooks);
 
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -368,10 +368,10 @@
   bool closing_ = false;
 };
 
-Server::Server(base::Executor executor, ServerLimits limits, Handler handler)
-    : impl_(std::make_shared<Impl>(std::move(executor),
-                                   limits,
-                                   std::move(handler))) {}
+Server::Server(const base::Executor& executor,
+               ServerLimits limits,
+               Handler handler)
+    : impl_(std::make_shared<Impl>(executor, limits, std::move(handler))) {}
 Server::~Server() {
   impl_->StopAccepting();
   impl_->CloseAll();
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -53,7 +53,7 @@
 /// An HTTP/1.1 server; one task per connection.
 class Server {
  public:
-  Server(base::Executor executor, ServerLimits limits, Handler handler);
+  Server(const base::Executor& executor, ServerLimits limits, Handler handler);
   ~Server();
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
--- a/src/kernel/daemon.cc
+++ b/src/kernel/daemon.cc
@@ -530,8 +530,8 @@
   bool ready_reported_ = false;
 };
 
-Daemon::Daemon(base::Executor executor, Settings settings)
-    : impl_(std::make_unique<Impl>(std::move(executor), std::move(settings))) {}
+Daemon::Daemon(const base::Executor& executor, Settings settings)
+    : impl_(std::make_unique<Impl>(executor, std::move(settings))) {}
 
 Daemon::~Daemon() {
   impl_->Stop();
--- a/src/kernel/daemon.h
+++ b/src/kernel/daemon.h
@@ -11,7 +11,7 @@
 /// One daemon: all services, wired together and started in order.
 class Daemon {
  public:
-  Daemon(base::Executor executor, Settings settings);
+  Daemon(const base::Executor& executor, Settings settings);
   ~Daemon();
   Daemon(const Daemon&) = delete;
   Daemon& operator=(const Daemon&) = delete;
