--- a/src/base/clock.cc
+++ b/src/base/clock.cc
@@ -1,6 +1,7 @@
 #include "base/clock.h"
 
 #include <chrono>
+#include <ctime>
 
 namespace dandelion::base {
 
@@ -14,4 +15,14 @@
   });
 }
 
+Clock Clock::BootTime() {
+  return Clock([] {
+    constexpr int64_t kMsPerSecond = 1000;
+    constexpr int64_t kNsPerMs = 1'000'000;
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return Millis(now.tv_sec * kMsPerSecond + now.tv_nsec / kNsPerMs);
+  });
+}
+
 }  // namespace dandelion::base
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -39,8 +39,11 @@
 
   explicit Clock(Source source) : source_(std::move(source)) {}
 
-  /// The host's monotonic clock.
+  /// The host's monotonic clock. It stands still while the host is suspended.
   static Clock Monotonic();
+  /// Like `Monotonic`, but it counts the time of a suspension too. The age of a
+  /// fact that somebody else may revoke is taken by this clock.
+  static Clock BootTime();
 
   Millis Now() const { return source_(); }
 
--- /dev/null
+++ b/src/fleet/upstream_list.cc
@@ -0,0 +1,113 @@
+#include "fleet/upstream_list.h"
+
+#include <utility>
+
+namespace dandelion::fleet {
+
+using base::Millis;
+
+void UpstreamList::Set(const base::UpstreamId& id,
+                       std::optional<UpstreamEntry> entry,
+                       Millis now) {
+  if (!entry) {
+    Remove(id, now);
+    return;
+  }
+  const auto known = all_.find(id);
+  const bool is_new = known == all_.end();
+  const bool restarted =
+      !is_new && known->second.entry.started_at != entry->started_at;
+  if (restarted) {
+    all_.erase(known);
+    hooks_.on_restarted(id);
+  }
+  Upstream& upstream = all_[id];
+  if (is_new || restarted) {
+    upstream.id = id;
+    upstream.listed_at = now;
+  }
+  const bool was_leaving = upstream.leaving_since.has_value();
+  upstream.entry = *std::move(entry);
+  upstream.cold_until = now + upstream.entry.cold_left;
+  if (upstream.entry.leaving && !was_leaving) {
+    upstream.leaving_since = now;
+  } else if (!upstream.entry.leaving) {
+    upstream.leaving_since.reset();
+  }
+  if (is_new || restarted) {
+    hooks_.on_listed(upstream);
+  }
+  if (upstream.leaving_since && !was_leaving) {
+    hooks_.on_leaving(upstream, "draining");
+  }
+}
+
+void UpstreamList::Remove(const base::UpstreamId& id, Millis now) {
+  const auto known = all_.find(id);
+  if (known == all_.end() || known->second.leaving_since) {
+    return;
+  }
+  known->second.leaving_since = now;
+  // An entry that lapsed in the store's outage is no notice.
+  if (now >= lapses_until_) {
+    hooks_.on_leaving(known->second, "entry gone");
+  }
+}
+
+void UpstreamList::MarkLeaving(const base::UpstreamId& id,
+                               std::string_view reason,
+                               Millis now) {
+  const auto known = all_.find(id);
+  if (known == all_.end() || known->second.leaving_since) {
+    return;
+  }
+  known->second.leaving_since = now;
+  hooks_.on_leaving(known->second, reason);
+}
+
+void UpstreamList::SetEvacuated(const base::DataCentreId& data_centre,
+                                bool evacuated) {
+  if (evacuated) {
+    evacuated_.insert(data_centre);
+  } else {
+    evacuated_.erase(data_centre);
+  }
+}
+
+void UpstreamList::Prune(Millis now) {
+  std::erase_if(all_, [now](const auto& item) {
+    const Upstream& upstream = item.second;
+    return upstream.leaving_since && now - *upstream.leaving_since > kGoneKept;
+  });
+}
+
+bool UpstreamList::Usable(const Upstream& upstream) const {
+  return !upstream.leaving_since && !Evacuated(upstream.entry.data_centre);
+}
+
+const Upstream* UpstreamList::Find(const base::UpstreamId& id) const {
+  const auto known = all_.find(id);
+  return known == all_.end() ? nullptr : &known->second;
+}
+
+std::vector<const Upstream*> UpstreamList::UsableOf(
+    const base::PoolName& pool) const {
+  std::vector<const Upstream*> usable;
+  for (const auto& [id, upstream] : all_) {
+    if (upstream.entry.pool == pool && Usable(upstream)) {
+      usable.push_back(&upstream);
+    }
+  }
+  return usable;
+}
+
+size_t UpstreamList::SizeOf(const base::PoolName& pool) const {
+  size_t count = 0;
+  for (const auto& [id, upstream] : all_) {
+    const bool listed = !upstream.leaving_since || upstream.entry.leaving;
+    count += listed && upstream.entry.pool == pool ? 1 : 0;
+  }
+  return count;
+}
+
+}  // namespace dandelion::fleet
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -47,15 +47,16 @@
     message.method_string(request.method);
     message.target(request.target);
     message.version(11);
-    message.set(bhttp::field::host, Name(endpoint_));
+    if (!request.headers.Has("Host")) {
+      message.set(bhttp::field::host, Name(endpoint_));
+    }
     for (const Header& line : request.headers.lines()) {
       message.insert(line.name, line.value);
     }
     message.body() = request.body;
     message.prepare_payload();
-    parser_.emplace();
-    parser_->body_limit(boost::none);
-    complete_ = false;
+    without_body_ = request.method == "HEAD";
+    ResetParser();
     may_have_left_ = true;
     Arm(timeout);
     const auto [error, size] =
@@ -67,6 +68,9 @@
   }
 
   Task<absl::StatusOr<Response>> ReadHead(Millis timeout) override {
+    if (complete_) {
+      ResetParser();
+    }
     Arm(timeout);
     const auto [error, size] =
         co_await bhttp::async_read_header(stream_, buffer_, *parser_, kNoThrow);
@@ -106,7 +110,7 @@
   bool MayHaveLeft() const override { return may_have_left_; }
 
   bool Reusable() const override {
-    return complete_ && parser_->get().keep_alive();
+    return complete_ && parser_->get().keep_alive() && buffer_.size() == 0;
   }
 
   void Close() override { stream_.close(); }
@@ -114,6 +118,13 @@
  private:
   static constexpr size_t kChunkBytes = 16 * 1024;
 
+  void ResetParser() {
+    parser_.emplace();
+    parser_->body_limit(boost::none);
+    parser_->skip(without_body_);
+    complete_ = false;
+  }
+
   void Arm(Millis timeout) {
     stream_.expires_after(std::chrono::milliseconds(timeout.count()));
   }
@@ -123,6 +134,7 @@
   beast::flat_buffer buffer_;
   boost::optional<bhttp::response_parser<bhttp::buffer_body>> parser_;
   std::string chunk_ = std::string(kChunkBytes, '\0');
+  bool without_body_ = false;
   bool may_have_left_ = false;
   bool complete_ = false;
 };
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -21,10 +21,12 @@
  public:
   virtual ~Connection() = default;
 
-  /// Writes the request. `MayHaveLeft` is true from before the first write.
+  /// Writes the request; a `Host` line of the request's own is kept.
+  /// `MayHaveLeft` is true from before the first write.
   virtual base::Task<absl::Status> Send(const Request& request,
                                         base::Millis timeout) = 0;
-  /// Reads the answer's head; the returned body is empty.
+  /// Reads the answer's head; the returned body is empty. After a whole answer
+  /// it reads the head of the next one on the same connection.
   virtual base::Task<absl::StatusOr<Response>> ReadHead(
       base::Millis timeout) = 0;
   /// Reads some of the body; an empty view is its end. The view is valid until
--- a/src/http/message.cc
+++ b/src/http/message.cc
@@ -1,26 +1,28 @@
 #include "http/message.h"
 
+#include <algorithm>
+#include <array>
+#include <set>
 #include <utility>
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
+#include "absl/strings/str_split.h"
 
 namespace dandelion::http {
-namespace {
 
-bool SameName(std::string_view a, std::string_view b) {
+bool SameHeaderName(std::string_view a, std::string_view b) {
   return absl::EqualsIgnoreCase(absl::string_view(a.data(), a.size()),
                                 absl::string_view(b.data(), b.size()));
 }
 
-}  // namespace
-
 void Headers::Add(std::string name, std::string value) {
   lines_.push_back(Header{std::move(name), std::move(value)});
 }
 
 std::string_view Headers::Find(std::string_view name) const {
   for (const Header& line : lines_) {
-    if (SameName(line.name, name)) {
+    if (SameHeaderName(line.name, name)) {
       return line.value;
     }
   }
@@ -29,13 +31,57 @@
 
 bool Headers::Has(std::string_view name) const {
   for (const Header& line : lines_) {
-    if (SameName(line.name, name)) {
+    if (SameHeaderName(line.name, name)) {
       return true;
     }
   }
   return false;
 }
 
+size_t Headers::Count(std::string_view name) const {
+  size_t count = 0;
+  for (const Header& line : lines_) {
+    count += SameHeaderName(line.name, name) ? 1 : 0;
+  }
+  return count;
+}
+
+Headers WithoutConnectionHeaders(const Headers& headers) {
+  static constexpr std::array<std::string_view, 10> kConnectionHeaders = {
+      "Connection",
+      "Keep-Alive",
+      "Proxy-Authenticate",
+      "Proxy-Authorization",
+      "TE",
+      "Trailer",
+      "Transfer-Encoding",
+      "Upgrade",
+      "Proxy-Connection",
+      "Expect"};
+  std::set<std::string> named;
+  for (const Header& line : headers.lines()) {
+    if (!SameHeaderName(line.name, "Connection")) {
+      continue;
+    }
+    for (const absl::string_view name : absl::StrSplit(line.value, ',')) {
+      named.insert(absl::AsciiStrToLower(absl::StripAsciiWhitespace(name)));
+    }
+  }
+  Headers kept;
+  for (const Header& line : headers.lines()) {
+    const bool for_connection =
+        std::any_of(kConnectionHeaders.begin(), kConnectionHeaders.end(),
+                    [&](std::string_view name) {
+                      return SameHeaderName(line.name, name);
+                    }) ||
+        named.contains(absl::AsciiStrToLower(line.name));
+    if (!for_connection) {
+      kept.Add(line.name, line.value);
+    }
+  }
+  return kept;
+}
+
 std::string_view Request::Path() const {
   const std::string_view whole = target;
   return whole.substr(0, whole.find('?'));
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -12,6 +12,9 @@
   std::string value;
 };
 
+/// Whether two header names are the same, without regard to case.
+bool SameHeaderName(std::string_view a, std::string_view b);
+
 /// Header lines in the order in which they were received.
 class Headers {
  public:
@@ -19,6 +22,8 @@
   /// The first value under `name`, without regard to case; empty if absent.
   std::string_view Find(std::string_view name) const;
   bool Has(std::string_view name) const;
+  /// How many lines bear `name`.
+  size_t Count(std::string_view name) const;
   const std::vector<Header>& lines() const { return lines_; }
 
  private:
@@ -45,6 +50,9 @@
   std::string body;
 };
 
+/// The lines of `headers` that concern more than one connection. `Host` stays.
+Headers WithoutConnectionHeaders(const Headers& headers);
+
 /// A JSON answer.
 Response JsonResponse(int status, std::string body);
 
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -53,7 +53,7 @@
 }
 
 /// One accepted connection.
-class Session : public Exchange {
+class Session : public Exchange, public std::enable_shared_from_this<Session> {
  public:
   Session(tcp::socket socket, const ServerLimits& limits)
       : limits_(limits), stream_(std::move(socket)) {}
@@ -82,8 +82,16 @@
     for (const Header& line : head.headers.lines()) {
       message.insert(line.name, line.value);
     }
+    const bool has_body = request_.method != "HEAD";
+    const bool sized = head.headers.Has("Content-Length");
+    chunked_ = has_body && !sized && !old_version_;
+    if (has_body && !sized && old_version_) {
+      keep_alive_ = false;
+    }
     message.keep_alive(keep_alive_);
-    message.chunked(true);
+    if (chunked_) {
+      message.chunked(true);
+    }
     bhttp::response_serializer<bhttp::empty_body> serializer(message);
     answered_ = true;
     Arm(limits_.write_timeout);
@@ -94,6 +102,11 @@
 
   Task<absl::Status> Write(std::string_view chunk) override {
     Arm(limits_.write_timeout);
+    if (!chunked_) {
+      const auto [error, size] = co_await asio::async_write(
+          stream_, asio::buffer(chunk.data(), chunk.size()), kNoThrow);
+      co_return Note(error);
+    }
     const auto body =
         bhttp::make_chunk(asio::const_buffer(chunk.data(), chunk.size()));
     const auto [error, size] =
@@ -102,6 +115,9 @@
   }
 
   Task<absl::Status> Finish() override {
+    if (!chunked_) {
+      co_return absl::OkStatus();
+    }
     Arm(limits_.write_timeout);
     const auto last = bhttp::make_chunk_last();
     const auto [error, size] =
@@ -116,6 +132,14 @@
 
   void FallSilent() override { silent_ = true; }
 
+  void OnCallerGone(std::function<void()> gone) override {
+    caller_gone_ = std::move(gone);
+    if (!watching_) {
+      watching_ = true;
+      base::Spawn(stream_.get_executor(), Watch(shared_from_this()));
+    }
+  }
+
   Task<void> Run(const Handler& handler, const bool& closing) {
     beast::flat_buffer buffer;
     while (!broken_) {
@@ -128,8 +152,10 @@
       }
       busy_ = true;
       keep_alive_ = parser.get().keep_alive() && !closing;
+      old_version_ = parser.get().version() < kHttp11;
       Load(parser.release());
       co_await handler(*this);
+      caller_gone_ = nullptr;
       busy_ = false;
       if (silent_) {
         co_await Hold();
@@ -140,12 +166,38 @@
     }
     boost::system::error_code ignored;
     stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    stream_.close();
   }
 
   bool busy() const { return busy_; }
   void CloseNow() { stream_.close(); }
 
  private:
+  static constexpr unsigned kHttp11 = 11;
+
+  // Waits until the socket can be read while an answer is under way: then the
+  // caller has left, or has sent its next request.
+  static Task<void> Watch(std::shared_ptr<Session> self) {
+    const auto [error] = co_await self->stream_.socket().async_wait(
+        tcp::socket::wait_read, kNoThrow);
+    self->watching_ = false;
+    if (!self->caller_gone_ || self->broken_) {
+      co_return;
+    }
+    char next = 0;
+    boost::system::error_code peek_error = error;
+    if (!peek_error) {
+      self->stream_.socket().non_blocking(true, peek_error);
+      self->stream_.socket().receive(
+          asio::buffer(&next, 1), asio::socket_base::message_peek, peek_error);
+    }
+    if (peek_error && peek_error != asio::error::would_block) {
+      const std::function<void()> gone = std::move(self->caller_gone_);
+      self->caller_gone_ = nullptr;
+      gone();
+    }
+  }
+
   Task<bool> ReadRequest(beast::flat_buffer& buffer,
                          bhttp::request_parser<bhttp::string_body>& parser) {
     if (buffer.size() == 0) {
@@ -216,6 +268,10 @@
   bool busy_ = false;
   bool broken_ = false;
   bool silent_ = false;
+  bool chunked_ = false;
+  bool old_version_ = false;
+  bool watching_ = false;
+  std::function<void()> caller_gone_;
 };
 
 }  // namespace
@@ -296,6 +352,7 @@
   size_t connections() const { return sessions_.size(); }
   unsigned short port() const { return port_; }
   void AnnounceClose() { closing_ = true; }
+  void SetLimits(const ServerLimits& limits) { limits_ = limits; }
 
  private:
   static absl::Status Unusable(const tcp::endpoint& endpoint,
@@ -338,7 +395,9 @@
   static Task<void> Run(std::shared_ptr<Impl> self,
                         tcp::socket socket,
                         asio::ip::address remote) {
-    Session session(std::move(socket), self->limits_);
+    const auto owned =
+        std::make_shared<Session>(std::move(socket), self->limits_);
+    Session& session = *owned;
     size_t& from_remote = self->per_address_[remote];
     if (self->sessions_.size() >= self->limits_.connections ||
         from_remote >= self->limits_.connections_per_address) {
@@ -389,6 +448,9 @@
 unsigned short Server::port() const {
   return impl_->port();
 }
+void Server::SetLimits(const ServerLimits& limits) {
+  impl_->SetLimits(limits);
+}
 void Server::AnnounceClose() {
   impl_->AnnounceClose();
 }
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -36,12 +36,16 @@
   virtual const Request& request() const = 0;
   /// Sends a whole answer. Fails if the caller has gone.
   virtual base::Task<absl::Status> Respond(Response response) = 0;
-  /// Sends the head of a chunked answer.
+  /// Sends the head of an answer whose body follows in pieces. The body is
+  /// framed by the head's `Content-Length` if it has one, else by chunks.
   virtual base::Task<absl::Status> StartStream(Response head) = 0;
-  /// Sends one chunk. Fails if the caller has gone or takes no bytes.
+  /// Sends a piece. Fails if the caller has gone or takes no bytes.
   virtual base::Task<absl::Status> Write(std::string_view chunk) = 0;
-  /// Ends a chunked answer.
+  /// Ends the answer.
   virtual base::Task<absl::Status> Finish() = 0;
+  /// Calls `gone` once if the caller leaves before its answer has ended. A
+  /// caller that sends its next request early can't be seen leaving.
+  virtual void OnCallerGone(std::function<void()> gone) = 0;
   /// Closes the connection, so that the caller sees a truncated answer.
   virtual void Abort() = 0;
   /// Keeps the connection open for good without sending anything more.
@@ -67,6 +71,8 @@
   absl::Status Listen(const boost::asio::ip::tcp::endpoint& endpoint);
   unsigned short port() const;
 
+  /// Limits for everything that is read from now on.
+  void SetLimits(const ServerLimits& limits);
   /// Asks callers to open new connections elsewhere: every answer from now on
   /// closes its connection.
   void AnnounceClose();
--- a/src/kernel/daemon.cc
+++ b/src/kernel/daemon.cc
@@ -243,6 +243,10 @@
       case proto::Envelope::kClaimReply:
         claims_.OnReply(message.claim_reply());
         break;
+      case proto::Envelope::kFleetBeat:
+      case proto::Envelope::kFleetPull:
+      case proto::Envelope::kFleetPeers:
+        // Sent by daemons that find each other at run time.
       case proto::Envelope::BODY_NOT_SET:
         break;
     }
--- a/src/membership/transport.cc
+++ b/src/membership/transport.cc
@@ -23,12 +23,17 @@
 constexpr int kHighWaterMark = 1000;
 constexpr int kReconnectMs = 100;
 constexpr int kMostReconnectMs = 1000;
+// A connection can go silent without a reset; it is made anew after this.
+constexpr int kProbeIntervalMs = 500;
+constexpr int kProbeTimeoutMs = 1500;
 constexpr size_t kZ85KeyLength = 40;
 
 void SetCommonOptions(zmq::socket_t& socket) {
   socket.set(zmq::sockopt::linger, 0);
   socket.set(zmq::sockopt::sndhwm, kHighWaterMark);
   socket.set(zmq::sockopt::rcvhwm, kHighWaterMark);
+  socket.set(zmq::sockopt::heartbeat_ivl, kProbeIntervalMs);
+  socket.set(zmq::sockopt::heartbeat_timeout, kProbeTimeoutMs);
 }
 
 // Wakes when the socket may have something to read. The descriptor belongs to
@@ -52,8 +57,11 @@
   asio::posix::stream_descriptor descriptor_;
 };
 
-class Zmq : public ZmqTransport, public std::enable_shared_from_this<Zmq> {
+class Zmq : public std::enable_shared_from_this<Zmq> {
  public:
+  using Keys = ZmqTransport::Keys;
+  using Receiver = Transport::Receiver;
+
   Zmq(base::Executor executor, Keys keys, Receiver receiver)
       : executor_(std::move(executor)),
         keys_(std::move(keys)),
@@ -67,9 +75,11 @@
       // The library asks this endpoint about every new connection.
       authenticator_.bind("inproc://zeromq.zap.01");
       SetCommonOptions(incoming_);
-      incoming_.set(zmq::sockopt::curve_server, true);
-      incoming_.set(zmq::sockopt::curve_secretkey, keys_.secret_key);
-      incoming_.set(zmq::sockopt::zap_domain, "peers");
+      if (Protected()) {
+        incoming_.set(zmq::sockopt::curve_server, true);
+        incoming_.set(zmq::sockopt::curve_secretkey, keys_.secret_key);
+        incoming_.set(zmq::sockopt::zap_domain, "peers");
+      }
       incoming_.bind(absl::StrCat("tcp://", listen));
       for (const PeerAddress& peer : peers) {
         Connect(peer);
@@ -89,7 +99,7 @@
     base::Spawn(executor_, Authenticate(shared_from_this()));
   }
 
-  void Send(const base::HostId& to, const proto::Envelope& message) override {
+  void Send(const base::HostId& to, const proto::Envelope& message) {
     const auto peer = outgoing_.find(to);
     if (peer == outgoing_.end() || closed_) {
       return;
@@ -103,15 +113,31 @@
     }
   }
 
-  const TransportCounts& counts() const override { return counts_; }
+  void AddPeer(const PeerAddress& peer) {
+    RemovePeer(peer.id);
+    try {
+      Connect(peer);
+    } catch (const zmq::error_t& error) {
+      telemetry::Emit(telemetry::Event::kPeerRefused,
+                      {{"peer", peer.id.value()},
+                       {"address", peer.address},
+                       {"reason", error.what()}});
+    }
+  }
+
+  void RemovePeer(const base::HostId& id) { outgoing_.erase(id); }
 
-  void Close() override {
+  const TransportCounts& counts() const { return counts_; }
+
+  void Close() {
     closed_ = true;
     authenticator_watch_->Cancel();
     incoming_watch_->Cancel();
   }
 
  private:
+  bool Protected() const { return !keys_.public_key.empty(); }
+
   void Connect(const PeerAddress& peer) {
     zmq::socket_t socket(context_, zmq::socket_type::push);
     SetCommonOptions(socket);
@@ -119,9 +145,11 @@
     socket.set(zmq::sockopt::reconnect_ivl_max, kMostReconnectMs);
     // Messages for a peer that is away are dropped, not kept for its return.
     socket.set(zmq::sockopt::immediate, true);
-    socket.set(zmq::sockopt::curve_serverkey, keys_.public_key);
-    socket.set(zmq::sockopt::curve_publickey, keys_.public_key);
-    socket.set(zmq::sockopt::curve_secretkey, keys_.secret_key);
+    if (Protected()) {
+      socket.set(zmq::sockopt::curve_serverkey, keys_.public_key);
+      socket.set(zmq::sockopt::curve_publickey, keys_.public_key);
+      socket.set(zmq::sockopt::curve_secretkey, keys_.secret_key);
+    }
     socket.connect(absl::StrCat("tcp://", peer.address));
     outgoing_.emplace(peer.id, std::move(socket));
   }
@@ -236,6 +264,8 @@
   void Send(const base::HostId& to, const proto::Envelope& message) override {
     zmq_->Send(to, message);
   }
+  void AddPeer(const PeerAddress& peer) override { zmq_->AddPeer(peer); }
+  void RemovePeer(const base::HostId& id) override { zmq_->RemovePeer(id); }
   const TransportCounts& counts() const override { return zmq_->counts(); }
   void Close() override { zmq_->Close(); }
 
--- a/src/membership/transport.h
+++ b/src/membership/transport.h
@@ -41,7 +41,8 @@
 };
 
 /// A transport over ZeroMQ. Both ends prove with CURVE that they hold the
-/// deployment's key pair; others are refused.
+/// deployment's key pair; others are refused. Without a key pair, messages go
+/// unprotected and the network must keep others out.
 class ZmqTransport : public Transport {
  public:
   struct Keys {
@@ -61,6 +62,11 @@
   /// A new key pair.
   static Keys MakeKeys();
 
+  /// Connects to a peer that was found at run time, or to its new address.
+  virtual void AddPeer(const PeerAddress& peer) = 0;
+  /// Forgets a peer; messages to it are dropped.
+  virtual void RemovePeer(const base::HostId& id) = 0;
+
   virtual const TransportCounts& counts() const = 0;
   virtual void Close() = 0;
 };
--- /dev/null
+++ b/src/moving/mover.cc
@@ -0,0 +1,207 @@
+#include "moving/mover.h"
+
+#include <utility>
+#include <vector>
+
+#include "absl/cleanup/cleanup.h"
+#include "absl/strings/str_cat.h"
+#include "moving/copy_step.h"
+#include "telemetry/events.h"
+
+namespace dandelion::moving {
+namespace {
+
+using base::Millis;
+using base::Task;
+using base::UpstreamId;
+using relay::CopyOutcome;
+using relay::CopyResult;
+using telemetry::Emit;
+using telemetry::Event;
+
+// Until the run begins, and between two tries.
+constexpr Millis kPause{30};
+// Waits for room on any engine.
+constexpr Millis kRoomPause{100};
+constexpr Millis kCopyTimeout{4000};
+// A mover gives up when nothing has worked for so many tries.
+constexpr int kMostTries = 60;
+
+std::string_view ToString(CopyOutcome outcome) {
+  switch (outcome) {
+    case CopyOutcome::kCopied:
+      return "copied";
+    case CopyOutcome::kNoRun:
+      return "no_run";
+    case CopyOutcome::kBusy:
+      return "busy";
+    case CopyOutcome::kNoRoom:
+      return "no_room";
+    case CopyOutcome::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+Mover::Mover(const base::Executor& executor,
+             base::Clock clock,
+             relay::EngineControl& engines,
+             Hooks hooks)
+    : executor_(executor),
+      clock_(std::move(clock)),
+      engines_(engines),
+      hooks_(std::move(hooks)) {}
+
+void Mover::Add(const RunPtr& run) {
+  runs_.emplace(run->place.upstream, run);
+  if (leaving_.contains(run->place.upstream)) {
+    Leave(run->place.upstream, "placed on a leaving engine");
+  }
+}
+
+void Mover::Remove(const RunPtr& run) {
+  std::erase_if(runs_, [&](const auto& item) { return item.second == run; });
+}
+
+void Mover::Leave(const UpstreamId& upstream, const std::string& reason) {
+  leaving_.insert(upstream);
+  const auto [first, last] = runs_.equal_range(upstream);
+  std::vector<RunPtr> to_move;
+  for (auto item = first; item != last; ++item) {
+    if (!item->second->moving) {
+      to_move.push_back(item->second);
+    }
+  }
+  for (const RunPtr& run : to_move) {
+    run->moving = true;
+    base::Spawn(executor_, Move(run, reason));
+  }
+}
+
+std::set<UpstreamId> Mover::Engines() const {
+  std::set<UpstreamId> engines;
+  for (const auto& [upstream, run] : runs_) {
+    engines.insert(upstream);
+  }
+  return engines;
+}
+
+Task<void> Mover::Move(RunPtr run, std::string reason) {
+  const UpstreamId source = run->place.upstream;
+  std::set<UpstreamId> excluded = {source};
+  for (int tries = 0; tries < kMostTries; ++tries) {
+    if (run->ended || run->place.upstream != source) {
+      break;
+    }
+    if (!run->begun) {
+      co_await base::Delay(kPause);
+      continue;
+    }
+    const bool ready = co_await CopyWhileRunning(run, source, &excluded);
+    if (ready && !run->ended) {
+      co_await StopAndCopy(run);
+      break;
+    }
+  }
+  run->moving = false;
+  Emit(Event::kRunMoved, {{"request", run->id.value()},
+                          {"from", source.value()},
+                          {"reason", reason},
+                          {"copied", run->copy ? "1" : "0"},
+                          {"ended", run->ended ? "1" : "0"}});
+}
+
+Task<bool> Mover::CopyWhileRunning(RunPtr run,
+                                   UpstreamId source,
+                                   std::set<UpstreamId>* excluded) {
+  if (!run->copy) {
+    std::optional<Place> target = hooks_.choose(*run, *excluded);
+    if (!target) {
+      co_await base::Delay(kRoomPause);
+      co_return false;
+    }
+    run->copy.emplace();
+    run->copy->place = *std::move(target);
+  }
+  const auto source_address = run->place.address;
+  const auto target_address = run->copy->place.address;
+  const UpstreamId target = run->copy->place.upstream;
+  const Millis started = clock_.Now();
+  const CopyResult result = co_await engines_.CopyRun(
+      source_address, run->id, target_address, false, kCopyTimeout);
+  const Millis took = clock_.Now() - started;
+  Emit(Event::kRunCopied, {{"request", run->id.value()},
+                           {"from", source.value()},
+                           {"to", target.value()},
+                           {"outcome", std::string(ToString(result.outcome))},
+                           {"took_ms", absl::StrCat(took.count())},
+                           {"events", absl::StrCat(result.events_made)}});
+  if (!run->copy || run->place.upstream != source) {
+    co_return false;  // The stream was cut and has gone on at the copy.
+  }
+  if (!result.handle.empty()) {
+    run->copy->copy = {source_address, result.handle};
+  }
+  switch (AfterCopy(result.outcome, took)) {
+    case CopyStep::kStopAndCopy:
+      co_return true;
+    case CopyStep::kCopyAgain:
+      break;
+    case CopyStep::kWait:
+      co_await base::Delay(kPause);
+      break;
+    case CopyStep::kOtherTarget:
+      excluded->insert(target);
+      run->copy.reset();
+      co_await base::Delay(kPause);
+      break;
+  }
+  co_return false;
+}
+
+Task<void> Mover::StopAndCopy(RunPtr run) {
+  run->stopping = true;
+  const absl::Cleanup settle = [run] {
+    run->stopping = false;
+    run->settled.cancel();
+  };
+  const auto source_address = run->place.address;
+  const auto target_address = run->copy->place.address;
+  const Millis started = clock_.Now();
+  const CopyResult result = co_await engines_.CopyRun(
+      source_address, run->id, target_address, true, kCopyTimeout);
+  const Millis took = clock_.Now() - started;
+  Emit(Event::kRunCopied,
+       {{"request", run->id.value()},
+        {"to", run->copy ? run->copy->place.upstream.value() : ""},
+        {"last", "1"},
+        {"outcome", std::string(ToString(result.outcome))},
+        {"took_ms", absl::StrCat(took.count())},
+        {"events", absl::StrCat(result.events_made)}});
+  if (run->ended || !run->copy) {
+    co_return;
+  }
+  if (!result.handle.empty()) {
+    run->copy->copy = {source_address, result.handle};
+  }
+  if (result.outcome == CopyOutcome::kCopied) {
+    ++moved_;
+    co_return;
+  }
+  ++failed_;
+  Emit(Event::kRunMoveFailed,
+       {{"request", run->id.value()},
+        {"outcome", std::string(ToString(result.outcome))}});
+  if (result.outcome == CopyOutcome::kNoRoom && !result.handle.empty()) {
+    // The run has stopped, and its memory is still where it was.
+    Place stay;
+    stay.upstream = run->place.upstream;
+    stay.address = source_address;
+    stay.data_centre = run->place.data_centre;
+    run->copy->place = std::move(stay);
+  }
+}
+
+}  // namespace dandelion::moving
--- /dev/null
+++ b/src/moving/target_choice.cc
@@ -0,0 +1,64 @@
+#include "moving/target_choice.h"
+
+#include <algorithm>
+
+namespace dandelion::moving {
+namespace {
+
+// Memory that stays free on the target.
+constexpr double kMemoryReserve = 0.05;
+// A copy to another data centre takes twice as long.
+constexpr double kRemoteCopy = 2;
+// The notice is short, so copying weighs more than decoding.
+constexpr double kCopyWeight = 2;
+constexpr double kDecodeWeight = 0.1;
+constexpr double kDefaultTokenMs = 10;
+// Cost of a full target: its own notice would move all its runs at once.
+constexpr double kFillCostMs = 800;
+constexpr double kFailureCostMs = 2000;
+
+bool HasRoom(const routing::Candidate& candidate,
+             const MoveSize& size,
+             int64_t memory_tokens) {
+  const double most = static_cast<double>(memory_tokens) * (1 - kMemoryReserve);
+  const int64_t needed =
+      candidate.load.tokens + size.tokens_held + size.tokens_left;
+  return candidate.load.running < candidate.slots &&
+         static_cast<double>(needed) <= most;
+}
+
+double CostOf(const Target& target,
+              const MoveSize& size,
+              int64_t memory_tokens) {
+  const double copy_ms =
+      size.copy_ms * (target.beside_source ? 1 : kRemoteCopy);
+  const double decode_ms =
+      static_cast<double>(size.tokens_left) *
+      target.candidate.typical_ms.value_or(kDefaultTokenMs);
+  const double fill = static_cast<double>(target.candidate.load.tokens) /
+                      static_cast<double>(std::max<int64_t>(1, memory_tokens));
+  return copy_ms * kCopyWeight + decode_ms * kDecodeWeight +
+         fill * kFillCostMs + target.candidate.failure_share * kFailureCostMs;
+}
+
+}  // namespace
+
+std::optional<size_t> ChooseTarget(const std::vector<Target>& targets,
+                                   const MoveSize& size,
+                                   int64_t memory_tokens) {
+  std::optional<size_t> best;
+  double best_cost = 0;
+  for (size_t i = 0; i < targets.size(); ++i) {
+    if (!HasRoom(targets[i].candidate, size, memory_tokens)) {
+      continue;
+    }
+    const double cost = CostOf(targets[i], size, memory_tokens);
+    if (!best || cost < best_cost) {
+      best = i;
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
+}  // namespace dandelion::moving
--- /dev/null
+++ b/src/relay/forward_call.cc
@@ -0,0 +1,70 @@
+#include "relay/forward_call.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace dandelion::relay {
+
+using base::Millis;
+
+ForwardCall::ForwardCall(const base::Executor& executor,
+                         http::Exchange& exchange,
+                         Entry entry,
+                         Millis arrived)
+    : exchange(exchange),
+      entry(std::move(entry)),
+      arrived(arrived),
+      wake(executor),
+      deadline_(executor) {}
+
+void ForwardCall::Watch(Millis now) {
+  const std::weak_ptr<ForwardCall> weak = weak_from_this();
+  exchange.OnCallerGone([weak] {
+    if (const ForwardCallPtr self = weak.lock()) {
+      self->caller_gone_ = true;
+      self->Stop();
+    }
+  });
+  const Millis left = std::max(Millis(0), due() - now);
+  deadline_.expires_after(std::chrono::milliseconds(left.count()));
+  deadline_.async_wait([weak](const boost::system::error_code& error) {
+    const ForwardCallPtr self = weak.lock();
+    if (!error && self) {
+      self->timed_out_ = true;
+      self->Stop();
+    }
+  });
+}
+
+void ForwardCall::Stop() {
+  if (finished_) {
+    return;
+  }
+  wake.cancel();
+  if (connection_) {
+    connection_->Close();
+  }
+}
+
+void ForwardCall::Finish() {
+  finished_ = true;
+  connection_ = nullptr;
+  deadline_.cancel();
+}
+
+void ForwardCall::SetConnection(http::Connection* connection) {
+  connection_ = connection;
+  if (connection_ && ended()) {
+    connection_->Close();
+  }
+}
+
+SendEnd ForwardCall::EndOr(SendEnd otherwise) const {
+  if (caller_gone_) {
+    return SendEnd::kCallerGone;
+  }
+  return timed_out_ ? SendEnd::kTimedOut : otherwise;
+}
+
+}  // namespace dandelion::relay
--- /dev/null
+++ b/src/relay/forward_call.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+
+#include "http/client.h"
+#include "http/server.h"
+#include "relay/attempt_rules.h"
+#include "relay/caller_gate.h"
+
+namespace dandelion::relay {
+
+/// One request that is being forwarded: what is known of its caller, and the
+/// connection to the upstream that is at work on it.
+class ForwardCall : public std::enable_shared_from_this<ForwardCall> {
+ public:
+  ForwardCall(const base::Executor& executor,
+              http::Exchange& exchange,
+              Entry entry,
+              base::Millis arrived);
+
+  /// Starts to watch the caller and the time that is left. Both end the
+  /// upstream's work and any wait.
+  void Watch(base::Millis now);
+  /// Ends the watch.
+  void Finish();
+
+  /// The connection that is at work; null for none.
+  void SetConnection(http::Connection* connection);
+  /// Why the work was ended from outside; `otherwise` if it was not.
+  SendEnd EndOr(SendEnd otherwise) const;
+  bool ended() const { return caller_gone_ || timed_out_; }
+  bool caller_gone() const { return caller_gone_; }
+  base::Millis due() const { return arrived + entry.time_left; }
+
+  http::Exchange& exchange;
+  const Entry entry;
+  const base::Millis arrived;
+  SendHistory history;
+  /// Carries waits for an upstream.
+  boost::asio::steady_timer wake;
+
+ private:
+  void Stop();
+
+  boost::asio::steady_timer deadline_;
+  http::Connection* connection_ = nullptr;
+  bool caller_gone_ = false;
+  bool timed_out_ = false;
+  bool finished_ = false;
+};
+
+using ForwardCallPtr = std::shared_ptr<ForwardCall>;
+
+}  // namespace dandelion::relay
--- /dev/null
+++ b/src/relay/placer.cc
@@ -0,0 +1,207 @@
+#include "relay/placer.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/cleanup/cleanup.h"
+#include "moving/target_choice.h"
+
+namespace dandelion::relay {
+namespace {
+
+using base::Millis;
+using base::Task;
+using routing::Candidate;
+
+constexpr Millis kColdWindow{1000};
+
+routing::Load LoadOf(const PlaceRequest& request) {
+  if (!request.size) {
+    return {1, 0, 0};
+  }
+  return {1, request.size->Memory(), request.size->prompt_tokens};
+}
+
+double CopyMs(const fleet::EngineTraits& engine, int64_t tokens) {
+  constexpr double kBitsPerByte = 8;
+  constexpr double kBitsPerMsPerMbps = 1000;
+  if (engine.link_mbps <= 0) {
+    return 0;
+  }
+  return static_cast<double>(tokens) * engine.bytes_per_token * kBitsPerByte /
+         (engine.link_mbps * kBitsPerMsPerMbps);
+}
+
+}  // namespace
+
+Placer::Placer(base::Clock clock,
+               base::DataCentreId data_centre,
+               const fleet::UpstreamList& upstreams,
+               routing::LoadBook& loads,
+               routing::UpstreamHealth& health,
+               Hooks hooks)
+    : clock_(std::move(clock)),
+      data_centre_(std::move(data_centre)),
+      upstreams_(upstreams),
+      loads_(loads),
+      health_(health),
+      hooks_(std::move(hooks)) {}
+
+std::vector<Candidate> Placer::Candidates(const PlaceRequest& request) const {
+  const Millis now = clock_.Now();
+  std::vector<Candidate> sound;
+  std::vector<Candidate> ejected;
+  for (const fleet::Upstream* upstream :
+       upstreams_.UsableOf(request.pool.name)) {
+    if (request.excluded.contains(upstream->id) ||
+        ColdLimitReached(*upstream, request.pool)) {
+      continue;
+    }
+    Candidate candidate;
+    candidate.id = upstream->id;
+    candidate.same_data_centre = upstream->entry.data_centre == data_centre_;
+    candidate.slots = upstream->entry.slots;
+    candidate.load = loads_.Total(upstream->id);
+    candidate.failure_share = health_.FailureShare(upstream->id);
+    candidate.typical_ms = request.size ? health_.TokenMs(upstream->id)
+                                        : health_.AnswerMs(upstream->id);
+    (health_.Ejected(upstream->id, now) ? ejected : sound)
+        .push_back(std::move(candidate));
+  }
+  // When everything has failed, what failed is still better than nothing.
+  return sound.empty() ? ejected : sound;
+}
+
+std::optional<moving::Place> Placer::TryPlace(const PlaceRequest& request) {
+  const std::vector<Candidate> candidates = Candidates(request);
+  const std::optional<size_t> choice =
+      request.size ? routing::ChooseEngine(candidates, *request.size,
+                                           request.pool.engine->memory_tokens)
+                   : routing::ChooseService(candidates);
+  if (!choice) {
+    return std::nullopt;
+  }
+  return PlaceAt(candidates[*choice].id, LoadOf(request));
+}
+
+std::optional<moving::Place> Placer::ChooseMoveTarget(
+    const moving::Run& run,
+    const fleet::Pool& pool,
+    const std::set<base::UpstreamId>& excluded) {
+  PlaceRequest request;
+  request.pool = pool;
+  request.size = run.size;
+  request.excluded = excluded;
+  std::vector<moving::Target> targets;
+  for (Candidate& candidate : Candidates(request)) {
+    const fleet::Upstream& upstream = *upstreams_.Find(candidate.id);
+    const bool beside = upstream.entry.data_centre == run.place.data_centre;
+    targets.push_back({std::move(candidate), beside});
+  }
+  const fleet::EngineTraits& engine = *pool.engine;
+  moving::MoveSize size;
+  size.tokens_held = run.TokensHeld();
+  size.tokens_left = run.TokensLeft();
+  size.copy_ms = CopyMs(engine, size.tokens_held);
+  const std::optional<size_t> choice =
+      moving::ChooseTarget(targets, size, engine.memory_tokens);
+  if (!choice) {
+    return std::nullopt;
+  }
+  return PlaceAt(targets[*choice].candidate.id,
+                 {1, size.tokens_held + size.tokens_left, 0});
+}
+
+moving::Place Placer::PlaceAt(const base::UpstreamId& id,
+                              const routing::Load& load) {
+  const fleet::Upstream& upstream = *upstreams_.Find(id);
+  NoteColdSend(upstream);
+  moving::Place place;
+  place.upstream = upstream.id;
+  place.address = upstream.entry.address;
+  place.data_centre = upstream.entry.data_centre;
+  place.ticket = routing::LoadTicket(loads_, upstream.id, load);
+  return place;
+}
+
+Task<std::optional<moving::Place>> Placer::Place(PlaceRequest request) {
+  admission::FairQueue& queue =
+      queues_.try_emplace(request.pool.name, kMostWaiting).first->second;
+  if (queue.size() == 0) {
+    std::optional<moving::Place> place = TryPlace(request);
+    if (place) {
+      co_return place;
+    }
+  }
+  const Millis patience = request.wait_until - clock_.Now();
+  if (patience <= Millis(0)) {
+    co_return std::nullopt;
+  }
+  Waiting waiting;
+  waiting.request = std::move(request);
+  admission::Waiter waiter;
+  waiter.ticket = ++last_ticket_;
+  waiter.organisation = waiting.request.organisation;
+  waiter.is_short = waiting.request.is_short;
+  waiter.cost = waiting.request.size
+                    ? static_cast<double>(waiting.request.size->Memory())
+                    : 1.0;
+  if (!queue.Push(waiter)) {
+    co_return std::nullopt;
+  }
+  waiting_[waiter.ticket] = &waiting;
+  const absl::Cleanup leave = [this, &queue, &waiter] {
+    queue.Remove(waiter.ticket);
+    waiting_.erase(waiter.ticket);
+  };
+  co_await base::WaitFor(*waiting.request.wake, patience);
+  co_return std::move(waiting.place);
+}
+
+void Placer::Pump() {
+  for (auto& [pool, queue] : queues_) {
+    queue.Pump([this](const admission::Waiter& waiter) {
+      Waiting& waiting = *waiting_.at(waiter.ticket);
+      waiting.place = TryPlace(waiting.request);
+      if (!waiting.place) {
+        return false;
+      }
+      waiting.request.wake->cancel();
+      return true;
+    });
+  }
+}
+
+bool Placer::ColdLimitReached(const fleet::Upstream& upstream,
+                              const fleet::Pool& pool) const {
+  const Millis now = clock_.Now();
+  if (!upstream.ColdAt(now) || pool.cold_requests_per_second <= 0) {
+    return false;
+  }
+  const auto sends = cold_sends_.find(upstream.id);
+  if (sends == cold_sends_.end()) {
+    return false;
+  }
+  const auto recent =
+      std::count_if(sends->second.begin(), sends->second.end(),
+                    [now](Millis at) { return now - at <= kColdWindow; });
+  const double share =
+      pool.cold_requests_per_second /
+      static_cast<double>(std::max<size_t>(1, hooks_.daemons()));
+  return static_cast<double>(recent) >= std::max(1.0, share);
+}
+
+void Placer::NoteColdSend(const fleet::Upstream& upstream) {
+  const Millis now = clock_.Now();
+  if (!upstream.ColdAt(now)) {
+    cold_sends_.erase(upstream.id);
+    return;
+  }
+  std::deque<Millis>& sends = cold_sends_[upstream.id];
+  sends.push_back(now);
+  while (now - sends.front() > kColdWindow) {
+    sends.pop_front();
+  }
+}
+
+}  // namespace dandelion::relay
--- /dev/null
+++ b/src/relay/send_once.cc
@@ -0,0 +1,134 @@
+#include "relay/send_once.h"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "telemetry/events.h"
+
+namespace dandelion::relay {
+namespace {
+
+using base::Millis;
+using base::Task;
+using routing::Outcome;
+using telemetry::Emit;
+using telemetry::Event;
+
+constexpr Millis kServiceConnectTimeout{150};
+constexpr Millis kEngineConnectTimeout{250};
+// Outputs that the caller gives no estimate for.
+constexpr int64_t kDefaultOutputTokens = 256;
+// Estimates are right in the median; memory is planned for longer outputs.
+constexpr double kLengthMargin = 1.25;
+
+void NoteHealth(const ForwardServices& services,
+                const moving::Place& place,
+                SendEnd end,
+                Millis now) {
+  switch (end) {
+    case SendEnd::kAnswered:
+      services.health.Note(place.upstream, Outcome::kGood, now);
+      break;
+    case SendEnd::kNotSent:
+    case SendEnd::kBroken:
+      services.health.Note(place.upstream, Outcome::kBad, now);
+      break;
+    case SendEnd::kTimedOut:
+      services.health.Note(place.upstream, Outcome::kSilent, now);
+      break;
+    case SendEnd::kOtherUpstream:
+    case SendEnd::kNotRun:
+    case SendEnd::kCallerGone:
+      break;
+  }
+}
+
+}  // namespace
+
+Task<UpstreamReply> SendOnce(const ForwardServices& services,
+                             ForwardCallPtr call,
+                             const moving::Place& place,
+                             std::optional<RunCopy> copy,
+                             std::optional<int64_t> after_event) {
+  const Millis started = services.clock.Now();
+  const Millis left = std::max(Millis(1), call->due() - started);
+  SendOrder order;
+  order.upstream = place.upstream;
+  order.organisation = call->entry.organisation;
+  order.deadline_left = left;
+  order.copy = std::move(copy);
+  order.after_event = after_event;
+  const bool engine = call->entry.route.kind == fleet::RequestKind::kGeneration;
+  UpstreamCall send;
+  send.address = place.address;
+  send.request = services.dialect.make_request(call->exchange.request(), order);
+  send.id = call->entry.caller.id;
+  send.connect_timeout =
+      std::min(left, engine ? kEngineConnectTimeout : kServiceConnectTimeout);
+  send.answer_timeout = left;
+  send.on_connection = [call](http::Connection* connection) {
+    call->SetConnection(connection);
+  };
+  UpstreamReply reply =
+      co_await CallUpstream(services.dialect, std::move(send));
+  if (reply.end == SendEnd::kBroken) {
+    reply.end = call->EndOr(SendEnd::kBroken);
+  }
+  if (reply.end != SendEnd::kAnswered) {
+    call->SetConnection(nullptr);
+  }
+  call->history.Note(reply.end);
+  const Millis now = services.clock.Now();
+  NoteHealth(services, place, reply.end, now);
+  if (reply.end == SendEnd::kAnswered && !engine) {
+    services.health.NoteAnswerTime(place.upstream, now - started);
+  }
+  Emit(Event::kForwardPlaced,
+       {{"request", call->entry.caller.id.value()},
+        {"upstream", place.upstream.value()},
+        {"end", std::string(ToString(reply.end))},
+        {"status", absl::StrCat(reply.head.status)},
+        {"reason", reply.reason},
+        {"took_ms", absl::StrCat((now - started).count())}});
+  co_return reply;
+}
+
+const fleet::Pool* PoolOf(const ForwardCall& call) {
+  // The same request lands in the same part of a split at every daemon.
+  constexpr double kRange = 1e6;
+  const size_t hash = std::hash<std::string>()(call.entry.caller.id.value());
+  const double point =
+      static_cast<double>(hash % static_cast<size_t>(kRange)) / kRange;
+  return fleet::ChoosePool(*call.entry.catalogue, call.entry.route, point);
+}
+
+routing::GenerationSize SizeOf(const CallerRequest& caller) {
+  routing::GenerationSize size;
+  size.prompt_tokens = caller.prompt_tokens;
+  const auto expected = static_cast<double>(
+      caller.expected_output_tokens.value_or(kDefaultOutputTokens));
+  size.output_tokens = static_cast<int64_t>(expected * kLengthMargin);
+  if (caller.most_output_tokens > 0) {
+    size.output_tokens =
+        std::min(size.output_tokens, caller.most_output_tokens);
+  }
+  return size;
+}
+
+bool TrySendAgain(const ForwardServices& services,
+                  const ForwardCall& call,
+                  const fleet::Pool& pool,
+                  SendEnd end) {
+  if (call.ended() || !MaySendAgain(call.entry.route, call.history)) {
+    return false;
+  }
+  if (end == SendEnd::kNotSent) {
+    return true;
+  }
+  return services.repeats.TrySpend(pool.name, services.clock.Now(),
+                                   services.daemons());
+}
+
+}  // namespace dandelion::relay
--- /dev/null
+++ b/src/relay/upstream_call.cc
@@ -0,0 +1,110 @@
+#include "relay/upstream_call.h"
+
+#include <utility>
+
+#include <boost/asio/experimental/awaitable_operators.hpp>
+
+#include "absl/strings/str_cat.h"
+
+namespace dandelion::relay {
+namespace {
+
+using base::Millis;
+using base::Task;
+
+constexpr int kFirstSuccess = 200;
+constexpr int kLastSuccess = 299;
+// An upstream may answer a longer request before it has read it.
+constexpr size_t kShortBody = 2 * 1024;
+
+bool IsSuccess(int status) {
+  return status >= kFirstSuccess && status <= kLastSuccess;
+}
+
+Task<bool> SkipBody(http::Connection& connection, Millis timeout) {
+  for (;;) {
+    const absl::StatusOr<std::string_view> piece =
+        co_await connection.ReadSome(timeout);
+    if (!piece.ok()) {
+      co_return false;
+    }
+    if (piece->empty()) {
+      co_return true;
+    }
+  }
+}
+
+SendEnd Judge(const AnswerHead& answer, int status, std::string* reason) {
+  if (answer.other_upstream) {
+    *reason = "another upstream has the address";
+    return SendEnd::kOtherUpstream;
+  }
+  if (answer.not_run) {
+    *reason = absl::StrCat("refused with ", status);
+    return SendEnd::kNotRun;
+  }
+  if (answer.encoded || (IsSuccess(status) && !answer.sealed)) {
+    *reason = "the answer was changed on the way";
+    return SendEnd::kBroken;
+  }
+  return SendEnd::kAnswered;
+}
+
+Task<absl::StatusOr<http::Response>> SendAndReadHead(
+    http::Connection& connection,
+    const UpstreamCall& call) {
+  using boost::asio::experimental::awaitable_operators::operator&&;
+  if (call.request.body.size() <= kShortBody) {
+    const absl::Status sent =
+        co_await connection.Send(call.request, call.answer_timeout);
+    if (!sent.ok()) {
+      co_return sent;
+    }
+    co_return co_await connection.ReadHead(call.answer_timeout);
+  }
+  auto [sent, head] =
+      co_await (connection.Send(call.request, call.answer_timeout) &&
+                connection.ReadHead(call.answer_timeout));
+  co_return std::move(head);
+}
+
+}  // namespace
+
+Task<UpstreamReply> CallUpstream(const Dialect& dialect, UpstreamCall call) {
+  UpstreamReply reply;
+  absl::StatusOr<std::unique_ptr<http::Connection>> connection =
+      co_await http::Connect(call.address, call.connect_timeout);
+  if (!connection.ok()) {
+    reply.reason = std::string(connection.status().message());
+    co_return reply;
+  }
+  reply.connection = *std::move(connection);
+  call.on_connection(reply.connection.get());
+  reply.end = SendEnd::kBroken;
+  absl::StatusOr<http::Response> head =
+      co_await SendAndReadHead(*reply.connection, call);
+  while (head.ok()) {
+    reply.answer = dialect.read_answer(*head);
+    const bool foreign =
+        !reply.answer.request.empty() && reply.answer.request != call.id;
+    if (!foreign) {
+      break;
+    }
+    const bool skipped =
+        co_await SkipBody(*reply.connection, call.answer_timeout);
+    if (!skipped) {
+      reply.reason = "an answer to another request";
+      co_return reply;
+    }
+    head = co_await reply.connection->ReadHead(call.answer_timeout);
+  }
+  if (!head.ok()) {
+    reply.reason = std::string(head.status().message());
+    co_return reply;
+  }
+  reply.head = *std::move(head);
+  reply.end = Judge(reply.answer, reply.head.status, &reply.reason);
+  co_return reply;
+}
+
+}  // namespace dandelion::relay
--- /dev/null
+++ b/src/store/follower.cc
@@ -0,0 +1,72 @@
+#include "store/follower.h"
+
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "base/error.h"
+#include "telemetry/events.h"
+
+namespace dandelion::store {
+
+using base::Millis;
+using base::Task;
+using telemetry::Emit;
+using telemetry::Event;
+
+Follower::Follower(base::Clock clock, MetadataStore& store, Hooks hooks)
+    : clock_(std::move(clock)), store_(store), hooks_(std::move(hooks)) {}
+
+Task<void> Follower::Follow(Topic topic) {
+  for (;;) {
+    if (!hooks_.reading()) {
+      co_await base::Delay(kIdleCheck);
+      continue;
+    }
+    const bool read = co_await ReadOnce(topic);
+    if (!read) {
+      co_await base::Delay(kRetryInterval);
+    } else if (topic == Topic::kUpstreams) {
+      co_await base::Delay(kUpstreamsInterval);
+    }
+  }
+}
+
+Task<bool> Follower::ReadOnce(Topic topic) {
+  const TopicReplica& replica = hooks_.replica(topic);
+  const Millis sent_at = clock_.Now();
+  const Millis wait =
+      topic == Topic::kOperator ? kOperatorWait : kUpstreamsWait;
+  absl::StatusOr<Update> update = absl::UnknownError("not read");
+  if (!replica.started()) {
+    update = co_await store_.ReadNewest(topic);
+  } else {
+    update = co_await store_.ReadFrom(topic, replica.position(), wait);
+    if (base::KindOf(update.status()) == base::ErrorKind::kLostRace) {
+      Emit(Event::kStoreGap, {{"topic", std::string(ToString(topic))},
+                              {"position", absl::StrCat(replica.position())}});
+      update = co_await store_.ReadNewest(topic);
+    }
+  }
+  Note(topic, update.status());
+  if (!update.ok()) {
+    co_return false;
+  }
+  hooks_.on_update(topic, *update,
+                   update->partial ? replica.proven_at() : sent_at);
+  co_return true;
+}
+
+void Follower::Note(Topic topic, const absl::Status& status) {
+  if (status.ok() == reachable_) {
+    return;
+  }
+  reachable_ = status.ok();
+  if (reachable_) {
+    Emit(Event::kStoreBack, {{"topic", std::string(ToString(topic))}});
+  } else {
+    Emit(Event::kStoreLost, {{"topic", std::string(ToString(topic))},
+                             {"reason", std::string(status.message())}});
+  }
+}
+
+}  // namespace dandelion::store
--- a/src/telemetry/events.cc
+++ b/src/telemetry/events.cc
@@ -1,11 +1,13 @@
 #include "telemetry/events.h"
 
 #include <fmt/format.h>
+#include <poll.h>
+#include <unistd.h>
 
 #include <array>
 #include <atomic>
 #include <chrono>
-#include <cstdio>
+#include <climits>
 #include <iterator>
 
 namespace dandelion::telemetry {
@@ -50,6 +52,31 @@
     EventRow{Event::kClaimLost, Level::kInfo, "claim_lost"},
     EventRow{Event::kClaimReleased, Level::kInfo, "claim_released"},
     EventRow{Event::kClaimUnavailable, Level::kWarning, "claim_unavailable"},
+    EventRow{Event::kStoreLost, Level::kWarning, "store_lost"},
+    EventRow{Event::kStoreBack, Level::kInfo, "store_back"},
+    EventRow{Event::kStoreGap, Level::kInfo, "store_gap"},
+    EventRow{Event::kStoreReaderStarted, Level::kInfo, "store_reader_started"},
+    EventRow{Event::kStoreReaderStopped, Level::kInfo, "store_reader_stopped"},
+    EventRow{Event::kStoreRecordRefused, Level::kWarning,
+             "store_record_refused"},
+    EventRow{Event::kSettingsReloaded, Level::kInfo, "settings_reloaded"},
+    EventRow{Event::kSettingsRefused, Level::kWarning, "settings_refused"},
+    EventRow{Event::kReadinessChanged, Level::kInfo, "readiness_changed"},
+    EventRow{Event::kUpstreamListed, Level::kInfo, "upstream_listed"},
+    EventRow{Event::kUpstreamGone, Level::kInfo, "upstream_gone"},
+    EventRow{Event::kUpstreamEjected, Level::kWarning, "upstream_ejected"},
+    EventRow{Event::kUpstreamReadmitted, Level::kInfo, "upstream_readmitted"},
+    EventRow{Event::kDataCentreEvacuated, Level::kInfo,
+             "data_centre_evacuated"},
+    EventRow{Event::kDataCentreRestored, Level::kInfo, "data_centre_restored"},
+    EventRow{Event::kForwardDone, Level::kInfo, "forward_done"},
+    EventRow{Event::kForwardRefused, Level::kInfo, "forward_refused"},
+    EventRow{Event::kForwardRetried, Level::kInfo, "forward_retried"},
+    EventRow{Event::kForwardPlaced, Level::kInfo, "forward_placed"},
+    EventRow{Event::kRunCopied, Level::kInfo, "run_copied"},
+    EventRow{Event::kRunMoved, Level::kInfo, "run_moved"},
+    EventRow{Event::kRunLost, Level::kWarning, "run_lost"},
+    EventRow{Event::kRunMoveFailed, Level::kWarning, "run_move_failed"},
 };
 
 std::atomic<Level> least_level{Level::kInfo};
@@ -97,8 +124,29 @@
   out.push_back('"');
 }
 
+// A pipe that polls as writable takes this many bytes without blocking.
+constexpr size_t kMostLineBytes = PIPE_BUF;
+
+std::atomic<uint64_t> dropped_lines{0};
+
+// Writes the line if standard output takes it at once; else counts it.
+void WriteOrDrop(std::string_view line) {
+  pollfd output{STDOUT_FILENO, POLLOUT, 0};
+  const bool writable = line.size() <= kMostLineBytes &&
+                        poll(&output, 1, 0) == 1 &&
+                        (output.revents & POLLOUT) != 0;
+  if (!writable || write(STDOUT_FILENO, line.data(), line.size()) !=
+                       static_cast<ssize_t>(line.size())) {
+    dropped_lines.fetch_add(1, std::memory_order_relaxed);
+  }
+}
+
 }  // namespace
 
+uint64_t DroppedLines() {
+  return dropped_lines.load(std::memory_order_relaxed);
+}
+
 void Emit(Event event, std::initializer_list<Field> fields) {
   const EventRow& row = RowOf(event);
   if (row.level < least_level.load(std::memory_order_relaxed)) {
@@ -116,7 +164,7 @@
     AppendValue(line, field.value);
   }
   line.push_back('\n');
-  std::fwrite(line.data(), 1, line.size(), stderr);
+  WriteOrDrop({line.data(), line.size()});
 }
 
 std::string_view NameOf(Event event) {
--- a/src/telemetry/events.h
+++ b/src/telemetry/events.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -39,6 +40,29 @@
   kClaimLost = 601,
   kClaimReleased = 602,
   kClaimUnavailable = 603,
+  kStoreLost = 220,
+  kStoreBack = 221,
+  kStoreGap = 222,
+  kStoreReaderStarted = 223,
+  kStoreReaderStopped = 224,
+  kStoreRecordRefused = 225,
+  kSettingsReloaded = 230,
+  kSettingsRefused = 231,
+  kReadinessChanged = 232,
+  kUpstreamListed = 410,
+  kUpstreamGone = 411,
+  kUpstreamEjected = 412,
+  kUpstreamReadmitted = 413,
+  kDataCentreEvacuated = 414,
+  kDataCentreRestored = 415,
+  kForwardDone = 510,
+  kForwardRefused = 511,
+  kForwardRetried = 512,
+  kForwardPlaced = 513,
+  kRunCopied = 520,
+  kRunMoved = 521,
+  kRunLost = 522,
+  kRunMoveFailed = 523,
 };
 
 enum class Level { kInfo, kWarning, kError };
@@ -48,9 +72,13 @@
   std::string value;
 };
 
-/// Writes one logfmt line to standard error.
+/// Writes one logfmt line to standard output. Never blocks: a line that the
+/// output does not take at once, or that is over 4 KiB, is dropped and counted.
 void Emit(Event event, std::initializer_list<Field> fields = {});
 
+/// Lines that were dropped since the start.
+uint64_t DroppedLines();
+
 std::string_view NameOf(Event event);
 Level LevelOf(Event event);
 
--- /dev/null
+++ b/test/forward-support.cc
@@ -0,0 +1,193 @@
+#include "test/forward-support.h"
+
+#include <chrono>
+#include <utility>
+
+#include "platform/dialect.h"
+
+namespace dandelion::test {
+
+using base::Millis;
+using base::Task;
+using boost::asio::ip::tcp;
+
+FakeUpstream::FakeUpstream(const base::Executor& executor,
+                           http::Handler handler)
+    : handler_(std::move(handler)),
+      server_(executor,
+              http::ServerLimits(),
+              [this](http::Exchange& exchange) {
+                seen_.push_back(exchange.request());
+                return handler_(exchange);
+              }) {
+  const absl::Status listening =
+      server_.Listen(tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+  if (!listening.ok()) {
+    throw std::runtime_error(listening.ToString());
+  }
+}
+
+tcp::endpoint FakeUpstream::address() const {
+  return {boost::asio::ip::address_v4::loopback(), server_.port()};
+}
+
+Task<relay::CopyResult> FakeEngineControl::CopyRun(tcp::endpoint,
+                                                   base::RequestId run,
+                                                   tcp::endpoint,
+                                                   bool stop,
+                                                   Millis) {
+  ++copies;
+  co_return on_copy ? on_copy(run, stop) : relay::CopyResult();
+}
+
+Task<void> FakeEngineControl::DropCopy(tcp::endpoint, std::string handle) {
+  dropped.push_back(handle);
+  co_return;
+}
+
+Task<absl::StatusOr<relay::EngineReport>> FakeEngineControl::ReadReport(
+    tcp::endpoint) {
+  co_return relay::EngineReport();
+}
+
+ForwardRig::ForwardRig()
+    : upstreams({[](const fleet::Upstream&) {},
+                 [this](const fleet::Upstream& upstream, std::string_view why) {
+                   mover->Leave(upstream.id, std::string(why));
+                 },
+                 [](const base::UpstreamId&) {}}),
+      health({[](const base::UpstreamId&, Millis) {},
+              [](const base::UpstreamId&) {}}),
+      repeats(relay::RepeatLimit::Bounds()),
+      metrics(10),
+      clock_(base::Clock::BootTime()),
+      dialect_(platform::MakeDialect()) {
+  placer = std::make_unique<relay::Placer>(
+      clock_, base::DataCentreId("dc-a"), upstreams, loads, health,
+      relay::Placer::Hooks{[] { return size_t{1}; }});
+  mover = std::make_unique<moving::Mover>(
+      executor(), clock_, engines,
+      moving::Mover::Hooks{[this](const moving::Run& run,
+                                  const std::set<base::UpstreamId>& excluded) {
+        return placer->ChooseMoveTarget(
+            run, *catalogue_->FindPool(run.pool), excluded);
+      }});
+  forwarder_ = std::make_unique<relay::Forwarder>(relay::ForwardServices{
+      executor(), clock_, dialect_, *placer, *mover, engines, health, loads,
+      repeats, metrics, [] { return size_t{1}; }, [this] {
+        return relay::GateState{catalogue_, catalogue_age, Millis(4000)};
+      }});
+  callers_ = std::make_unique<http::Server>(
+      executor(), http::ServerLimits(), [this](http::Exchange& exchange) {
+        return forwarder_->Handle(exchange);
+      });
+  const absl::Status listening = callers_->Listen(
+      tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+  if (!listening.ok()) {
+    throw std::runtime_error(listening.ToString());
+  }
+}
+
+ForwardRig::~ForwardRig() {
+  callers_->StopAccepting();
+  callers_->CloseAll();
+  for (auto& [id, fake] : fakes_) {
+    fake->CloseAll();
+  }
+  context_.restart();
+  context_.run_for(std::chrono::milliseconds(50));
+}
+
+fleet::Route& ForwardRig::AddRoute(const std::string& name,
+                                   fleet::RequestKind kind) {
+  fleet::Route route;
+  route.name = base::RouteName(name);
+  route.host = "front.example";
+  route.path_prefix = "/" + name + "/";
+  route.kind = kind;
+  route.pools.push_back({base::PoolName(name), 1});
+  fleet::Pool pool;
+  pool.name = base::PoolName(name);
+  if (kind == fleet::RequestKind::kGeneration) {
+    fleet::EngineTraits engine;
+    engine.slots = 8;
+    engine.memory_tokens = 10'000;
+    engine.can_move_runs = true;
+    pool.engine = engine;
+  }
+  draft_.pools[pool.name] = pool;
+  draft_.routes.push_back(route);
+  return draft_.routes.back();
+}
+
+void ForwardRig::Publish() {
+  ++draft_.version;
+  catalogue_ = std::make_shared<const fleet::Catalogue>(draft_);
+}
+
+FakeUpstream& ForwardRig::AddUpstream(const std::string& id,
+                                      const std::string& pool,
+                                      http::Handler handler) {
+  auto fake = std::make_unique<FakeUpstream>(executor(), std::move(handler));
+  fleet::UpstreamEntry entry;
+  entry.pool = base::PoolName(pool);
+  entry.address = fake->address();
+  entry.data_centre = base::DataCentreId("dc-a");
+  entry.slots = 8;
+  upstreams.Set(base::UpstreamId(id), entry, clock_.Now());
+  return *(fakes_[id] = std::move(fake));
+}
+
+absl::StatusOr<http::Response> ForwardRig::Ask(http::Request request) {
+  absl::StatusOr<http::Response> response = absl::UnknownError("no answer");
+  bool done = false;
+  const tcp::endpoint address(boost::asio::ip::address_v4::loopback(), port());
+  const auto ask = [&]() -> Task<void> {
+    http::FetchLimits limits;
+    limits.fresh_connection = true;
+    http::FetchResult result =
+        co_await client.Fetch(address, std::move(request), limits);
+    response = std::move(result.response);
+    done = true;
+  };
+  base::Spawn(executor(), ask());
+  Until([&done] { return done; });
+  return response;
+}
+
+bool ForwardRig::Until(const std::function<bool()>& condition) {
+  const auto give_up =
+      std::chrono::steady_clock::now() + std::chrono::seconds(10);
+  context_.restart();
+  while (!condition()) {
+    if (std::chrono::steady_clock::now() > give_up) {
+      return false;
+    }
+    context_.run_one_for(std::chrono::milliseconds(20));
+  }
+  return true;
+}
+
+http::Request CallerRequestFor(const std::string& route,
+                               const std::string& id) {
+  http::Request request;
+  request.method = "POST";
+  request.target = "/" + route + "/1";
+  request.headers.Add("Host", "front.example");
+  request.headers.Add("X-Dandeliondyke-Request-Id", id);
+  request.headers.Add("X-Dandeliondyke-Deadline-Ms", "5000");
+  request.body = "question";
+  return request;
+}
+
+http::Response Sealed(const http::Request& request, std::string body) {
+  http::Response response;
+  response.headers.Add(
+      "X-Dandeliondyke-Request-Id",
+      std::string(request.headers.Find("X-Dandeliondyke-Request-Id")));
+  response.headers.Add("X-Dandeliondyke-Response-Seal", "seal");
+  response.body = std::move(body);
+  return response;
+}
+
+}  // namespace dandelion::test
--- /dev/null
+++ b/test/forward-support.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "http/client.h"
+#include "http/server.h"
+#include "relay/forwarder.h"
+
+namespace dandelion::test {
+
+/// An upstream in this process: answers by a handler and records what came.
+class FakeUpstream {
+ public:
+  FakeUpstream(const base::Executor& executor, http::Handler handler);
+
+  boost::asio::ip::tcp::endpoint address() const;
+  const std::vector<http::Request>& seen() const { return seen_; }
+  void CloseAll() { server_.CloseAll(); }
+
+ private:
+  http::Handler handler_;
+  std::vector<http::Request> seen_;
+  http::Server server_;
+};
+
+/// Engine orders that a test answers itself.
+class FakeEngineControl : public relay::EngineControl {
+ public:
+  std::function<relay::CopyResult(const base::RequestId& run, bool stop)>
+      on_copy;
+  std::vector<std::string> dropped;
+  int copies = 0;
+
+  base::Task<relay::CopyResult> CopyRun(boost::asio::ip::tcp::endpoint source,
+                                        base::RequestId run,
+                                        boost::asio::ip::tcp::endpoint target,
+                                        bool stop,
+                                        base::Millis timeout) override;
+  base::Task<void> DropCopy(boost::asio::ip::tcp::endpoint source,
+                            std::string handle) override;
+  base::Task<absl::StatusOr<relay::EngineReport>> ReadReport(
+      boost::asio::ip::tcp::endpoint engine) override;
+};
+
+/// A forwarder with everything that it works with, in this process.
+class ForwardRig {
+ public:
+  ForwardRig();
+  ~ForwardRig();
+
+  /// Adds a route "/NAME/" to a pool of the same name.
+  fleet::Route& AddRoute(const std::string& name, fleet::RequestKind kind);
+  /// Publishes the routes that were added.
+  void Publish();
+  FakeUpstream& AddUpstream(const std::string& id,
+                            const std::string& pool,
+                            http::Handler handler);
+  /// Sends a request and waits for the whole answer.
+  absl::StatusOr<http::Response> Ask(http::Request request);
+  /// Lets tasks run until the condition holds; false after ten seconds.
+  bool Until(const std::function<bool()>& condition);
+  base::Executor executor() { return context_.get_executor(); }
+  unsigned short port() const { return callers_->port(); }
+
+  http::Client client;
+  FakeEngineControl engines;
+  fleet::UpstreamList upstreams;
+  routing::LoadBook loads;
+  routing::UpstreamHealth health;
+  std::unique_ptr<relay::Placer> placer;
+  std::unique_ptr<moving::Mover> mover;
+  relay::RepeatLimit repeats;
+  telemetry::Metrics metrics;
+  base::Millis catalogue_age{0};
+
+ private:
+  boost::asio::io_context context_;
+  base::Clock clock_;
+  relay::Dialect dialect_;
+  fleet::Catalogue draft_;
+  fleet::CataloguePtr catalogue_;
+  std::unique_ptr<relay::Forwarder> forwarder_;
+  std::unique_ptr<http::Server> callers_;
+  std::map<std::string, std::unique_ptr<FakeUpstream>> fakes_;
+};
+
+/// A request as a caller of the rig sends it.
+http::Request CallerRequestFor(const std::string& route,
+                               const std::string& id);
+/// The head of an answer that bears the upstream's seal.
+http::Response Sealed(const http::Request& request, std::string body);
+
+}  // namespace dandelion::test
