--- a/test/forward-support.cc
+++ b/test/forward-support.cc
@@ -146,7 +146,7 @@
     http::FetchLimits limits;
     limits.fresh_connection = true;
     http::FetchResult result =
-        co_await client.Fetch(address, std::move(request), limits);
+        co_await client_.Fetch(address, std::move(request), limits);
     response = std::move(result.response);
     done = true;
   };
--- a/test/forward-support.h
+++ b/test/forward-support.h
@@ -67,7 +67,6 @@
   base::Executor executor() { return context_.get_executor(); }
   unsigned short port() const { return callers_->port(); }
 
-  http::Client client;
   FakeEngineControl engines;
   fleet::UpstreamList upstreams;
   routing::LoadBook loads;
@@ -80,6 +79,7 @@
 
  private:
   boost::asio::io_context context_;
+  http::Client client_;
   base::Clock clock_;
   relay::Dialect dialect_;
   fleet::Catalogue draft_;
