--- a/src/membership/mesh.cc
+++ b/src/membership/mesh.cc
@@ -142,6 +142,7 @@
       beat.echo() == 0 ? now - kUnproven
                        : Millis(beat.echo()) + Millis(beat.echo_age_ms());
   bool behind = false;
+  bool differs = false;
   for (const proto::TopicUpdate& in : beat.updates()) {
     if (in.topic() < 0 || in.topic() >= static_cast<int>(store::kTopics)) {
       continue;  // A newer daemon's topic.
@@ -157,13 +158,17 @@
       continue;
     }
     hooks_.on_update(topic, update, sent_after - Millis(in.proof_age_ms()));
+    const TopicReplica& replica = hooks_.replica(topic);
+    differs =
+        differs || (in.key_digest() != 0 && update.to == replica.position() &&
+                    in.key_digest() != replica.key_digest());
   }
-  if (behind) {
-    Pull(from, peer);
+  if (behind || differs) {
+    Pull(from, peer, differs);
   }
 }
 
-void Mesh::Pull(const HostId& to, Peer& peer) {
+void Mesh::Pull(const HostId& to, Peer& peer, bool whole) {
   const Millis now = clock_.Now();
   if (now - peer.pulled_at < kPullInterval) {
     return;
@@ -174,7 +179,7 @@
   pull->set_address(self_.address);
   for (const Topic topic : kAllTopics) {
     const TopicReplica& replica = hooks_.replica(topic);
-    pull->add_positions(replica.started() ? replica.position() : -1);
+    pull->add_positions(replica.started() && !whole ? replica.position() : -1);
   }
   hooks_.send(to, message);
 }
@@ -240,7 +245,9 @@
     Update proof;
     proof.from = std::min(news_end_[IndexOf(topic)], replica.position());
     proof.to = replica.position();
-    Fill(proof, topic, replica.AgeAt(now), beat->add_updates());
+    proto::TopicUpdate* out = beat->add_updates();
+    Fill(proof, topic, replica.AgeAt(now), out);
+    out->set_key_digest(replica.key_digest());
   }
   return message;
 }
@@ -267,7 +274,7 @@
     }
     peer.next_beat = now + interval;
     if (!peer.heard) {
-      Pull(name, peer);
+      Pull(name, peer, false);
     }
     SendBeat(name, peer, peer.beats % kBeatsPerFullLoads == 0);
     ++peer.beats;
@@ -308,12 +315,17 @@
 }
 
 void Mesh::PassOn(Topic topic, Update update) {
-  // What lies between the last news and this update changed nothing.
-  update.from = std::min(update.from, news_end_[IndexOf(topic)]);
+  const TopicReplica& replica = hooks_.replica(topic);
+  if (update.snapshot) {
+    // Without the records that are left out it would say that they are gone.
+    update = replica.Snapshot();
+  } else {
+    // What lies between the last news and this update changed nothing.
+    update.from = std::min(update.from, news_end_[IndexOf(topic)]);
+  }
   for (const store::Record& record : update.records) {
     NoteNews(topic, record.offset);
   }
-  const TopicReplica& replica = hooks_.replica(topic);
   const Millis age = replica.AgeAt(clock_.Now());
   for (auto& [name, peer] : peers_) {
     proto::Envelope message = MakeBeat(peer, false);
--- a/src/membership/mesh.h
+++ b/src/membership/mesh.h
@@ -98,7 +98,8 @@
   void TakeUpdates(const base::HostId& from,
                    Peer& peer,
                    const proto::FleetBeat& beat);
-  void Pull(const base::HostId& to, Peer& peer);
+  /// Asks for what is missing, or with `whole` for everything.
+  void Pull(const base::HostId& to, Peer& peer, bool whole);
   void SendBeat(const base::HostId& to, Peer& peer, bool all_loads);
   void ForgetSilent();
   Peer& Meet(const base::HostId& from, const std::string& address);
--- a/src/store/reader_duty.h
+++ b/src/store/reader_duty.h
@@ -25,7 +25,7 @@
   /// A peer that was not heard of for this long doesn't count.
   static constexpr base::Millis kPeerSilence{1000};
   /// News that are older than this have stopped.
-  static constexpr base::Millis kNewsSilence{650};
+  static constexpr base::Millis kNewsSilence{1000};
   /// Daemons take over one after the other, so that few do at once.
   static constexpr base::Millis kTakeoverStep{120};
   static constexpr int kMostSteps = 6;
--- a/src/store/topic.cc
+++ b/src/store/topic.cc
@@ -1,5 +1,7 @@
 #include "store/topic.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <set>
 
@@ -8,6 +10,10 @@
 
 constexpr base::Millis kNeverProven{INT64_C(1) << 40};
 
+uint64_t HashOf(const std::string& key) {
+  return XXH3_64bits(key.data(), key.size());
+}
+
 }  // namespace
 
 std::string_view ToString(Topic topic) {
@@ -16,9 +22,11 @@
 
 std::vector<Record> TopicReplica::Apply(const Update& update,
                                         base::Millis proven_at) {
+  const bool newest_snapshot = update.snapshot && update.to >= position_;
   std::vector<Record> changed;
   for (const Record& record : update.records) {
-    if (Accept(record)) {
+    if (Accept(record, newest_snapshot)) {
+      Put(record);
       changed.push_back(record);
     }
   }
@@ -40,16 +48,25 @@
   return changed;
 }
 
-bool TopicReplica::Accept(const Record& record) {
-  const auto [entry, is_new] = newest_.try_emplace(record.key, record);
-  if (is_new) {
+bool TopicReplica::Accept(const Record& record, bool newest_snapshot) {
+  const auto known = newest_.find(record.key);
+  if (known == newest_.end()) {
     return true;
   }
-  if (record.offset <= entry->second.offset) {
-    return false;
+  const Entry& entry = known->second;
+  const bool restored = newest_snapshot && entry.inferred_removal &&
+                        record.offset == entry.record.offset;
+  return record.offset > entry.record.offset || restored;
+}
+
+void TopicReplica::Put(const Record& record) {
+  Entry& entry = newest_[record.key];
+  const bool was_present = !entry.record.key.empty() && !entry.record.removed;
+  if (was_present == record.removed) {
+    key_digest_ ^= HashOf(record.key);
   }
-  entry->second = record;
-  return true;
+  entry.record = record;
+  entry.inferred_removal = false;
 }
 
 void TopicReplica::AddMissingRemovals(const Update& update,
@@ -58,22 +75,25 @@
   for (const Record& record : update.records) {
     present.insert(record.key);
   }
-  for (auto& [key, record] : newest_) {
-    const bool gone = !record.removed && !present.contains(key) &&
-                      record.offset < update.from;
+  for (auto& [key, entry] : newest_) {
+    const bool gone = !entry.record.removed && !present.contains(key) &&
+                      entry.record.offset < update.from;
     if (gone) {
-      record.removed = true;
-      record.value.clear();
-      record.offset = update.from - 1;
-      changed->push_back(record);
+      Record removal = entry.record;
+      removal.removed = true;
+      removal.value.clear();
+      Put(removal);
+      entry.inferred_removal = true;
+      changed->push_back(std::move(removal));
     }
   }
 }
 
 void TopicReplica::ForgetOldRemovals() {
   const int64_t oldest = position_ - kRemovalsKept;
-  std::erase_if(newest_, [oldest](const auto& entry) {
-    return entry.second.removed && entry.second.offset < oldest;
+  std::erase_if(newest_, [oldest](const auto& item) {
+    const Record& record = item.second.record;
+    return record.removed && record.offset < oldest;
   });
 }
 
@@ -81,9 +101,9 @@
   Update update;
   update.from = from;
   update.to = position_;
-  for (const auto& [key, record] : newest_) {
-    if (record.offset >= from) {
-      update.records.push_back(record);
+  for (const auto& [key, entry] : newest_) {
+    if (entry.record.offset >= from) {
+      update.records.push_back(entry.record);
     }
   }
   return update;
@@ -94,9 +114,9 @@
   update.from = position_;
   update.to = position_;
   update.snapshot = true;
-  for (const auto& [key, record] : newest_) {
-    if (!record.removed) {
-      update.records.push_back(record);
+  for (const auto& [key, entry] : newest_) {
+    if (!entry.record.removed) {
+      update.records.push_back(entry.record);
     }
   }
   return update;
--- a/src/store/topic.h
+++ b/src/store/topic.h
@@ -56,6 +56,10 @@
   Update Since(int64_t from) const;
   Update Snapshot() const;
 
+  /// A digest of the keys that are present; replicas at the same position with
+  /// the same keys have the same one.
+  uint64_t key_digest() const { return key_digest_; }
+
   bool started() const { return started_; }
   int64_t position() const { return position_; }
   base::Millis proven_at() const { return proven_at_; }
@@ -63,14 +67,22 @@
   base::Millis AgeAt(base::Millis now) const;
 
  private:
-  bool Accept(const Record& record);
+  struct Entry {
+    Record record;
+    /// The key was missing in a snapshot; its offset is that of its last value.
+    bool inferred_removal = false;
+  };
+
+  bool Accept(const Record& record, bool newest_snapshot);
+  void Put(const Record& record);
   void AddMissingRemovals(const Update& update, std::vector<Record>* changed);
   void ForgetOldRemovals();
 
   bool started_ = false;
   int64_t position_ = 0;
   base::Millis proven_at_;
-  std::map<std::string, Record> newest_;
+  uint64_t key_digest_ = 0;
+  std::map<std::string, Entry> newest_;
 };
 
 }  // namespace dandelion::store
--- a/test/forward-support.cc
+++ b/test/forward-support.cc
@@ -14,12 +14,10 @@
 FakeUpstream::FakeUpstream(const base::Executor& executor,
                            http::Handler handler)
     : handler_(std::move(handler)),
-      server_(executor,
-              http::ServerLimits(),
-              [this](http::Exchange& exchange) {
-                seen_.push_back(exchange.request());
-                return handler_(exchange);
-              }) {
+      server_(executor, http::ServerLimits(), [this](http::Exchange& exchange) {
+        seen_.push_back(exchange.request());
+        return handler_(exchange);
+      }) {
   const absl::Status listening =
       server_.Listen(tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
   if (!listening.ok()) {
@@ -69,12 +67,13 @@
       executor(), clock_, engines,
       moving::Mover::Hooks{[this](const moving::Run& run,
                                   const std::set<base::UpstreamId>& excluded) {
-        return placer->ChooseMoveTarget(
-            run, *catalogue_->FindPool(run.pool), excluded);
+        return placer->ChooseMoveTarget(run, *catalogue_->FindPool(run.pool),
+                                        excluded);
       }});
   forwarder_ = std::make_unique<relay::Forwarder>(relay::ForwardServices{
       executor(), clock_, dialect_, *placer, *mover, engines, health, loads,
-      repeats, metrics, [] { return size_t{1}; }, [this] {
+      repeats, metrics, [] { return size_t{1}; },
+      [this] {
         return relay::GateState{catalogue_, catalogue_age, Millis(4000)};
       }});
   callers_ = std::make_unique<http::Server>(
--- a/test/forward-support.h
+++ b/test/forward-support.h
@@ -90,8 +90,7 @@
 };
 
 /// A request as a caller of the rig sends it.
-http::Request CallerRequestFor(const std::string& route,
-                               const std::string& id);
+http::Request CallerRequestFor(const std::string& route, const std::string& id);
 /// The head of an answer that bears the upstream's seal.
 http::Response Sealed(const http::Request& request, std::string body);
 
