Pass a failure on when no other upstream can be asked again

An idempotent request whose upstream answered 500 waited for another upstream's slot; when none came within 200 ms its connection was closed without the answer that was there.

Change: a repeated send takes a place that is free now or none, and the answer at hand is passed on.

--- a/src/relay/plain_forward.cc
+++ b/src/relay/plain_forward.cc
@@ -75,53 +75,72 @@
   return request;
 }
 
+// An answer whose body was read, whole if it is short.
+struct WholeReply {
+  UpstreamReply head;
+  ReadBody body;
+};
+
+Task<WholeReply> AskFor(const ForwardServices& services,
+                        ForwardCallPtr call,
+                        const moving::Place& place) {
+  WholeReply reply;
+  reply.head =
+      co_await SendOnce(services, call, place, std::nullopt, std::nullopt);
+  if (reply.head.end != SendEnd::kAnswered) {
+    co_return reply;
+  }
+  reply.body = co_await ReadShortBody(*reply.head.connection,
+                                      call->due() - services.clock.Now());
+  if (reply.body.broken) {
+    reply.head.end = call->EndOr(SendEnd::kBroken);
+    reply.head.reason = "the answer broke off";
+  }
+  co_return reply;
+}
+
+// Another upstream for a request that may be sent again. It doesn't wait for
+// one: what the first upstream answered is due to the caller.
+std::optional<moving::Place> PlaceAgain(const ForwardServices& services,
+                                        const ForwardCall& call,
+                                        const PlaceRequest& request,
+                                        SendEnd end) {
+  if (services.placer.Candidates(request).empty() ||
+      !TrySendAgain(services, call, request.pool, end)) {
+    return std::nullopt;
+  }
+  return services.placer.TryPlace(request);
+}
+
 }  // namespace
 
 Task<ForwardEnd> ForwardPlain(const ForwardServices& services,
                               ForwardCallPtr call,
                               fleet::Pool pool) {
   PlaceRequest request = MakePlaceRequest(services, *call, pool);
+  std::optional<moving::Place> place = co_await services.placer.Place(request);
   ForwardEnd result;
-  for (;;) {
-    std::optional<moving::Place> place =
-        co_await services.placer.Place(request);
-    if (!place) {
-      result.end = call->EndOr(result.end);
-      if (result.reason.empty()) {
-        result.reason = "no upstream has a free slot";
-      }
-      co_return result;
-    }
-    UpstreamReply reply =
-        co_await SendOnce(services, call, *place, std::nullopt, std::nullopt);
-    ReadBody body;
-    if (reply.end == SendEnd::kAnswered) {
-      body = co_await ReadShortBody(*reply.connection,
-                                    call->due() - services.clock.Now());
-      if (body.broken) {
-        reply.end = call->EndOr(SendEnd::kBroken);
-        reply.reason = "the answer broke off";
-      }
-    }
-    const bool failed = reply.end == SendEnd::kAnswered &&
-                        reply.head.status >= kFirstServerError &&
+  result.end = call->EndOr(SendEnd::kNotSent);
+  result.reason = "no upstream has a free slot";
+  while (place) {
+    WholeReply reply = co_await AskFor(services, call, *place);
+    const bool failed = reply.head.end == SendEnd::kAnswered &&
+                        reply.head.head.status >= kFirstServerError &&
                         call->entry.route.Repeatable();
-    result.end = reply.end;
-    result.reason = reply.reason;
-    if (reply.end == SendEnd::kAnswered && !failed) {
-      co_return co_await PassAnswer(services, call, reply,
-                                    std::move(body.bytes));
-    }
-    call->SetConnection(nullptr);
     request.excluded.insert(place->upstream);
-    if (!TrySendAgain(services, *call, pool, reply.end)) {
-      if (failed) {
-        co_return co_await PassAnswer(services, call, reply,
-                                      std::move(body.bytes));
-      }
-      co_return result;
+    place.reset();
+    if (reply.head.end != SendEnd::kAnswered || failed) {
+      place = PlaceAgain(services, *call, request, reply.head.end);
+    }
+    if (!place && reply.head.end == SendEnd::kAnswered) {
+      co_return co_await PassAnswer(services, call, reply.head,
+                                    std::move(reply.body.bytes));
     }
+    call->SetConnection(nullptr);
+    result.end = reply.head.end;
+    result.reason = reply.head.reason;
   }
+  co_return result;
 }
 
 Task<ForwardEnd> PassAnswer(const ForwardServices& services,
--- a/test/forward-test.cc
+++ b/test/forward-test.cc
@@ -37,5 +37,208 @@
   CHECK_FALSE(seen.headers.Has("X-Dandeliondyke-Tenant"));
 }
 
+Task<void> FailWhole(http::Exchange& exchange) {
+  http::Response response = Sealed(exchange.request(), "failure");
+  response.status = 500;
+  (void)co_await exchange.Respond(std::move(response));
+}
+
+TEST_CASE("a failure goes to the caller if no other upstream can be asked",
+          "[forward]") {
+  ForwardRig rig;
+  rig.AddRoute("read", RequestKind::kIdempotent).most_upstreams = 2;
+  rig.Publish();
+  rig.AddUpstream("u-1", "read", FailWhole);
+  const auto response = rig.Ask(CallerRequestFor("read", "r-1"));
+  REQUIRE(response.ok());
+  CHECK(response->status == 500);
+  CHECK(response->body == "failure");
+  CHECK(response->headers.Find("X-Dandeliondyke-Response-Seal") == "seal");
+}
+
+TEST_CASE("an idempotent request that failed goes to another upstream",
+          "[forward]") {
+  ForwardRig rig;
+  rig.AddRoute("read", RequestKind::kIdempotent).most_upstreams = 2;
+  rig.Publish();
+  FakeUpstream& first = rig.AddUpstream("u-1", "read", FailWhole);
+  FakeUpstream& second = rig.AddUpstream("u-2", "read", AnswerWhole);
+  const auto response = rig.Ask(CallerRequestFor("read", "r-1"));
+  REQUIRE(response.ok());
+  CHECK(response->status == 200);
+  CHECK(first.seen().size() == 1);
+  CHECK(second.seen().size() == 1);
+}
+
+TEST_CASE("a failure of a non-idempotent request is passed on, not repeated",
+          "[forward]") {
+  ForwardRig rig;
+  rig.AddRoute("write", RequestKind::kNonIdempotent).most_upstreams = 2;
+  rig.Publish();
+  FakeUpstream& first = rig.AddUpstream("u-1", "write", FailWhole);
+  FakeUpstream& second = rig.AddUpstream("u-2", "write", AnswerWhole);
+  const auto response = rig.Ask(CallerRequestFor("write", "r-1"));
+  REQUIRE(response.ok());
+  CHECK(response->status == 500);
+  CHECK(first.seen().size() + second.seen().size() == 1);
+}
+
+Task<void> BreakOff(http::Exchange& exchange) {
+  exchange.Abort();
+  co_return;
+}
+
+TEST_CASE("a non-idempotent request whose answer is lost is never repeated",
+          "[forward]") {
+  ForwardRig rig;
+  rig.AddRoute("write", RequestKind::kNonIdempotent).most_upstreams = 3;
+  rig.Publish();
+  FakeUpstream& first = rig.AddUpstream("u-1", "write", BreakOff);
+  FakeUpstream& second = rig.AddUpstream("u-2", "write", BreakOff);
+  const auto response = rig.Ask(CallerRequestFor("write", "r-1"));
+  REQUIRE(response.ok());
+  // Not 503: that would promise that it has not run.
+  CHECK(response->status == 502);
+  CHECK(first.seen().size() + second.seen().size() == 1);
+}
+
+Task<void> RefuseNotRun(http::Exchange& exchange) {
+  http::Response response = Sealed(exchange.request(), "full");
+  response.status = 503;
+  response.headers.Add("X-Dandeliondyke-Not-Executed", "1");
+  (void)co_await exchange.Respond(std::move(response));
+}
+
+TEST_CASE("a request that provably did not run is refused with a time to retry",
+          "[forward]") {
+  ForwardRig rig;
+  rig.AddRoute("write", RequestKind::kNonIdempotent).most_upstreams = 1;
+  rig.Publish();
+  rig.AddUpstream("u-1", "write", RefuseNotRun);
+  const auto response = rig.Ask(CallerRequestFor("write", "r-1"));
+  REQUIRE(response.ok());
+  CHECK(response->status == 503);
+  CHECK(response->headers.Has("Retry-After"));
+  CHECK_FALSE(response->headers.Has("X-Dandeliondyke-Response-Seal"));
+}
+
+TEST_CASE("an answer without the upstream's seal is not passed on",
+          "[forward]") {
+  ForwardRig rig;
+  rig.AddRoute("write", RequestKind::kNonIdempotent);
+  rig.Publish();
+  rig.AddUpstream("u-1", "write", [](http::Exchange& exchange) -> Task<void> {
+    http::Response response;
+    response.body = "forged";
+    (void)co_await exchange.Respond(std::move(response));
+  });
+  const auto response = rig.Ask(CallerRequestFor("write", "r-1"));
+  REQUIRE(response.ok());
+  CHECK(response->status == 502);
+  CHECK(response->body.find("forged") == std::string::npos);
+}
+
+TEST_CASE("without a configuration nothing is denied", "[forward]") {
+  ForwardRig rig;
+  const auto response = rig.Ask(CallerRequestFor("read", "r-1"));
+  REQUIRE(response.ok());
+  CHECK(response->status == 503);
+}
+
+TEST_CASE("a header that comes twice is refused", "[forward]") {
+  ForwardRig rig;
+  rig.AddRoute("read", RequestKind::kIdempotent);
+  rig.Publish();
+  FakeUpstream& upstream = rig.AddUpstream("u-1", "read", AnswerWhole);
+  http::Request request = CallerRequestFor("read", "r-1");
+  request.headers.Add("X-Dandeliondyke-Request-Id", "r-2");
+  const auto response = rig.Ask(request);
+  REQUIRE(response.ok());
+  CHECK(response->status == 400);
+  CHECK(upstream.seen().empty());
+}
+
+std::string EventText(int64_t id) {
+  return "id: " + std::to_string(id) + "\ndata: x\n\n";
+}
+
+/// Streams the events after `Last-Event-Id` up to `last`, then ends or breaks.
+http::Handler StreamUpTo(int64_t last, bool whole) {
+  return [last, whole](http::Exchange& exchange) -> Task<void> {
+    int64_t after = 0;
+    const std::string given(exchange.request().headers.Find("Last-Event-Id"));
+    if (!given.empty()) {
+      after = std::stoll(given);
+    }
+    http::Response head = Sealed(exchange.request(), "");
+    head.headers.Add("Content-Type", "text/event-stream");
+    absl::Status written = co_await exchange.StartStream(std::move(head));
+    for (int64_t id = after + 1; written.ok() && id <= last; ++id) {
+      const std::string event = EventText(id);
+      written = co_await exchange.Write(event);
+    }
+    if (whole) {
+      (void)co_await exchange.Finish();
+    } else {
+      // Half an event, which must not reach the caller.
+      const std::string half = "id: " + std::to_string(last + 1) + "\nda";
+      (void)co_await exchange.Write(half);
+      exchange.Abort();
+    }
+  };
+}
+
+std::string EventsUpTo(int64_t last) {
+  std::string text;
+  for (int64_t id = 1; id <= last; ++id) {
+    text += EventText(id);
+  }
+  return text;
+}
+
+TEST_CASE("a stream is passed on event by event", "[stream]") {
+  ForwardRig rig;
+  rig.AddRoute("draft", RequestKind::kGeneration);
+  rig.Publish();
+  rig.AddUpstream("u-1", "draft", StreamUpTo(5, true));
+  const auto response = rig.Ask(CallerRequestFor("draft", "r-1"));
+  REQUIRE(response.ok());
+  CHECK(response->body == EventsUpTo(5));
+  CHECK(rig.loads.own().empty());
+}
+
+TEST_CASE("a resumable stream goes on elsewhere after its last whole event",
+          "[stream]") {
+  ForwardRig rig;
+  fleet::Route& route = rig.AddRoute("check", RequestKind::kGeneration);
+  route.resumable = true;
+  route.most_upstreams = 2;
+  rig.Publish();
+  int calls = 0;
+  const auto handler = [&calls](http::Exchange& exchange) -> Task<void> {
+    const bool first = ++calls == 1;
+    const http::Handler stream = StreamUpTo(first ? 2 : 5, !first);
+    co_await stream(exchange);
+  };
+  rig.AddUpstream("u-1", "check", handler);
+  rig.AddUpstream("u-2", "check", handler);
+  const auto response = rig.Ask(CallerRequestFor("check", "r-1"));
+  REQUIRE(response.ok());
+  CHECK(response->body == EventsUpTo(5));
+  CHECK(calls == 2);
+}
+
+TEST_CASE("a stream that can't be resumed breaks off as its engine does",
+          "[stream]") {
+  ForwardRig rig;
+  rig.AddRoute("draft", RequestKind::kGeneration).most_upstreams = 2;
+  rig.Publish();
+  FakeUpstream& first = rig.AddUpstream("u-1", "draft", StreamUpTo(2, false));
+  FakeUpstream& second = rig.AddUpstream("u-2", "draft", StreamUpTo(2, false));
+  const auto response = rig.Ask(CallerRequestFor("draft", "r-1"));
+  CHECK_FALSE(response.ok());
+  CHECK(first.seen().size() + second.seen().size() == 1);
+}
+
 }  // namespace
 }  // namespace dandelion::test
