Ask engines whether they leave while the store is slow; test the adapter and moves

Change: the reader tells its peers that the store is slow, and engines with own runs are asked every 0.3 s then.

Ruled out: room on the targets; the order of notices.

--- a/src/kernel/fleet_daemon.cc
+++ b/src/kernel/fleet_daemon.cc
@@ -33,7 +33,7 @@
 constexpr Millis kAnnounceInterval{1000};
 // While the store is silent for this long, engines are asked themselves.
 constexpr Millis kStoreSilence{1200};
-constexpr Millis kReportInterval{500};
+constexpr Millis kReportInterval{300};
 // Not ready once the configuration has not been proved for this long.
 constexpr Millis kReadyAge{3500};
 // Callers' last requests may still come while the balancer learns of a stop.
@@ -233,11 +233,16 @@
     store_silent_ = silent;
   }
 
+  bool NoticesAreLate() const {
+    return store_silent_ || mesh_.StoreSlow() ||
+           (duty_.reading() && follower_.slow());
+  }
+
   // Without the store no notice arrives, but engines know that they leave.
   Task<void> AskEngines() {
     for (;;) {
       co_await base::Delay(kReportInterval);
-      if (!store_silent_) {
+      if (!NoticesAreLate()) {
         continue;
       }
       for (const UpstreamId& id : mover_.Engines()) {
@@ -399,6 +404,7 @@
     };
     hooks.on_peer_down = [this](const HostId& id) { loads_.DropPeer(id); };
     hooks.reading = [this] { return duty_.reading(); };
+    hooks.store_slow = [this] { return follower_.slow(); };
     return hooks;
   }
 
@@ -420,6 +426,7 @@
       load.set_running(own.running);
       load.set_tokens(own.tokens);
       load.set_unread_tokens(own.unread_tokens);
+      load.set_arriving_tokens(own.arriving_tokens);
       load.set_token_us(
           static_cast<int64_t>(health_.OwnTokenMs(id).value_or(0) * kUsPerMs));
     }
@@ -434,7 +441,8 @@
     for (const proto::UpstreamLoad& load : beat.loads()) {
       const UpstreamId id(load.upstream());
       loads_.SetPeer(from, id,
-                     {load.running(), load.tokens(), load.unread_tokens()});
+                     {load.running(), load.tokens(), load.unread_tokens(),
+                      load.arriving_tokens()});
       if (load.token_us() > 0) {
         health_.NotePeerTokenTime(
             id, static_cast<double>(load.token_us()) / kUsPerMs);
--- a/src/membership/mesh.cc
+++ b/src/membership/mesh.cc
@@ -127,6 +127,7 @@
   }
   Peer& peer = Meet(from, beat.address());
   peer.reading = beat.reading();
+  peer.store_slow = beat.store_slow();
   peer.stamp = beat.stamp();
   peer.stamp_at = clock_.Now();
   TakeUpdates(from, peer, beat);
@@ -235,6 +236,7 @@
   beat->set_echo(peer.stamp);
   beat->set_echo_age_ms((now - peer.stamp_at).count());
   beat->set_reading(hooks_.reading());
+  beat->set_store_slow(hooks_.reading() && hooks_.store_slow());
   beat->set_draining(draining_);
   beat->set_all_loads(all_loads);
   for (const Topic topic : kAllTopics) {
@@ -347,6 +349,12 @@
                  [](const auto& item) { return item.second.up; }));
 }
 
+bool Mesh::StoreSlow() const {
+  return std::any_of(peers_.begin(), peers_.end(), [](const auto& item) {
+    return item.second.up && item.second.reading && item.second.store_slow;
+  });
+}
+
 std::vector<store::PeerReading> Mesh::Readings() const {
   std::vector<store::PeerReading> readings;
   for (const auto& [name, peer] : peers_) {
--- a/src/membership/mesh.h
+++ b/src/membership/mesh.h
@@ -50,6 +50,7 @@
     std::function<void(const base::HostId&, const proto::FleetBeat&)> on_loads;
     std::function<void(const base::HostId&)> on_peer_down;
     std::function<bool()> reading;
+    std::function<bool()> store_slow;
   };
 
   Mesh(PeerAddress self,
@@ -74,6 +75,8 @@
   /// Daemons that answer, this one included.
   size_t Daemons() const;
   std::vector<store::PeerReading> Readings() const;
+  /// Whether a peer that reads the store says that it answers late.
+  bool StoreSlow() const;
 
  private:
   struct Peer {
@@ -83,6 +86,7 @@
     bool heard = false;
     bool up = false;
     bool reading = false;
+    bool store_slow = false;
     base::Millis next_beat;
     int beats = 0;
     /// The peer's last stamp, and when it came.
--- a/src/moving/mover.cc
+++ b/src/moving/mover.cc
@@ -143,6 +143,7 @@
   }
   if (!result.handle.empty()) {
     run->copy->copy = {source_address, result.handle};
+    run->copy->place.ticket.MarkArrived();
   }
   const bool have_copy = !run->copy->copy.handle.empty();
   switch (AfterCopy(result.outcome, took, have_copy)) {
--- a/src/moving/target_choice.cc
+++ b/src/moving/target_choice.cc
@@ -9,8 +9,9 @@
 constexpr double kMemoryReserve = 0.05;
 // A copy to another data centre takes twice as long.
 constexpr double kRemoteCopy = 2;
+// How much each run that waits for the same link makes a long copy worse.
+constexpr double kWaitingShare = 0.5;
 // The notice is short, so copying weighs more than decoding.
-constexpr double kCopyWeight = 2;
 constexpr double kDecodeWeight = 0.1;
 constexpr double kDefaultTokenMs = 10;
 // Cost of a full target: its own notice would move all its runs at once.
@@ -32,12 +33,19 @@
               int64_t memory_tokens) {
   const double copy_ms =
       size.copy_ms * (target.beside_source ? 1 : kRemoteCopy);
+  const double waiting =
+      1 + kWaitingShare * static_cast<double>(size.others_leaving);
+  const double ms_per_token =
+      size.copy_ms /
+      static_cast<double>(std::max<int64_t>(1, size.tokens_held));
+  const double queue_ms =
+      static_cast<double>(target.candidate.load.arriving_tokens) * ms_per_token;
   const double decode_ms =
       static_cast<double>(size.tokens_left) *
       target.candidate.typical_ms.value_or(kDefaultTokenMs);
   const double fill = static_cast<double>(target.candidate.load.tokens) /
                       static_cast<double>(std::max<int64_t>(1, memory_tokens));
-  return copy_ms * kCopyWeight + decode_ms * kDecodeWeight +
+  return copy_ms * waiting + queue_ms + decode_ms * kDecodeWeight +
          fill * kFillCostMs + target.candidate.failure_share * kFailureCostMs;
 }
 
--- a/src/relay/placer.cc
+++ b/src/relay/placer.cc
@@ -17,9 +17,9 @@
 
 routing::Load LoadOf(const PlaceRequest& request) {
   if (!request.size) {
-    return {1, 0, 0};
+    return {1, 0, 0, 0};
   }
-  return {1, request.size->Memory(), request.size->prompt_tokens};
+  return {1, request.size->Memory(), request.size->prompt_tokens, 0};
 }
 
 double CopyMs(const fleet::EngineTraits& engine, int64_t tokens) {
@@ -103,13 +103,15 @@
   size.tokens_held = run.TokensHeld();
   size.tokens_left = run.TokensLeft();
   size.copy_ms = CopyMs(engine, size.tokens_held);
+  size.others_leaving =
+      std::max<int64_t>(0, loads_.Total(run.place.upstream).running - 1);
   const std::optional<size_t> choice =
       moving::ChooseTarget(targets, size, engine.memory_tokens);
   if (!choice) {
     return std::nullopt;
   }
   return PlaceAt(targets[*choice].candidate.id,
-                 {1, size.tokens_held + size.tokens_left, 0});
+                 {1, size.tokens_held + size.tokens_left, 0, size.tokens_held});
 }
 
 moving::Place Placer::PlaceAt(const base::UpstreamId& id,
--- a/src/relay/send_once.cc
+++ b/src/relay/send_once.cc
@@ -124,11 +124,17 @@
   if (call.ended() || !MaySendAgain(call.entry.route, call.history)) {
     return false;
   }
-  if (end == SendEnd::kNotSent) {
-    return true;
-  }
-  return services.repeats.TrySpend(pool.name, services.clock.Now(),
-                                   services.daemons());
+  // Without a connection no upstream had any work.
+  const bool again =
+      end == SendEnd::kNotSent ||
+      services.repeats.TrySpend(pool.name, services.clock.Now(),
+                                services.daemons());
+  Emit(Event::kForwardRetried, {{"request", call.entry.caller.id.value()},
+                                {"pool", pool.name.value()},
+                                {"end", std::string(ToString(end))},
+                                {"sent", absl::StrCat(call.history.sent)},
+                                {"again", again ? "1" : "0"}});
+  return again;
 }
 
 }  // namespace dandelion::relay
--- a/src/routing/load_book.cc
+++ b/src/routing/load_book.cc
@@ -11,6 +11,7 @@
   running += other.running;
   tokens += other.tokens;
   unread_tokens += other.unread_tokens;
+  arriving_tokens += other.arriving_tokens;
   return *this;
 }
 
@@ -18,6 +19,7 @@
   running -= other.running;
   tokens -= other.tokens;
   unread_tokens -= other.unread_tokens;
+  arriving_tokens -= other.arriving_tokens;
   return *this;
 }
 
--- a/src/routing/load_book.h
+++ b/src/routing/load_book.h
@@ -15,6 +15,8 @@
   int64_t tokens = 0;
   /// Prompt tokens that have not been read yet.
   int64_t unread_tokens = 0;
+  /// Memory of moved runs that is still on its way there, in tokens.
+  int64_t arriving_tokens = 0;
 
   Load& operator+=(const Load& other);
   Load& operator-=(const Load& other);
--- a/src/routing/load_ticket.h
+++ b/src/routing/load_ticket.h
@@ -29,11 +29,19 @@
   /// The prompt has been read.
   void MarkRead() {
     if (book_ && load_.unread_tokens != 0) {
-      book_->Subtract(upstream_, {0, 0, load_.unread_tokens});
+      book_->Subtract(upstream_, {0, 0, load_.unread_tokens, 0});
       load_.unread_tokens = 0;
     }
   }
 
+  /// The memory of a moved run has arrived.
+  void MarkArrived() {
+    if (book_ && load_.arriving_tokens != 0) {
+      book_->Subtract(upstream_, {0, 0, 0, load_.arriving_tokens});
+      load_.arriving_tokens = 0;
+    }
+  }
+
   void Release() {
     if (book_) {
       std::exchange(book_, nullptr)->Subtract(upstream_, load_);
--- a/src/store/follower.cc
+++ b/src/store/follower.cc
@@ -48,6 +48,7 @@
     }
   }
   Note(topic, update.status());
+  slow_ = clock_.Now() - sent_at > wait + kSlowAnswer;
   if (!update.ok()) {
     co_return false;
   }
--- a/src/store/follower.h
+++ b/src/store/follower.h
@@ -24,6 +24,8 @@
   /// Between calls that fail.
   static constexpr base::Millis kRetryInterval{400};
   static constexpr base::Millis kIdleCheck{50};
+  /// An answer that is this late makes the store slow.
+  static constexpr base::Millis kSlowAnswer{120};
 
   struct Hooks {
     /// Whether to read now.
@@ -38,8 +40,8 @@
   /// Follows `topic` for good.
   base::Task<void> Follow(Topic topic);
 
-  /// Whether the last call of every topic succeeded.
-  bool reachable() const { return reachable_; }
+  /// Whether the store answers late, so that what it says is late too.
+  bool slow() const { return slow_; }
 
  private:
   base::Task<bool> ReadOnce(Topic topic);
@@ -49,6 +51,7 @@
   MetadataStore& store_;
   Hooks hooks_;
   bool reachable_ = true;
+  bool slow_ = false;
 };
 
 }  // namespace dandelion::store
--- a/src/telemetry/events.cc
+++ b/src/telemetry/events.cc
@@ -63,7 +63,6 @@
     EventRow{Event::kSettingsRefused, Level::kWarning, "settings_refused"},
     EventRow{Event::kReadinessChanged, Level::kInfo, "readiness_changed"},
     EventRow{Event::kUpstreamListed, Level::kInfo, "upstream_listed"},
-    EventRow{Event::kUpstreamGone, Level::kInfo, "upstream_gone"},
     EventRow{Event::kUpstreamEjected, Level::kWarning, "upstream_ejected"},
     EventRow{Event::kUpstreamReadmitted, Level::kInfo, "upstream_readmitted"},
     EventRow{Event::kDataCentreEvacuated, Level::kInfo,
--- a/src/telemetry/events.h
+++ b/src/telemetry/events.h
@@ -50,7 +50,6 @@
   kSettingsRefused = 231,
   kReadinessChanged = 232,
   kUpstreamListed = 410,
-  kUpstreamGone = 411,
   kUpstreamEjected = 412,
   kUpstreamReadmitted = 413,
   kDataCentreEvacuated = 414,
--- a/test/decisions-test.cc
+++ b/test/decisions-test.cc
@@ -43,7 +43,7 @@
   candidate.id = UpstreamId(id);
   candidate.same_data_centre = near;
   candidate.slots = 24;
-  candidate.load = {tokens > 0 ? 1 : 0, tokens, 0};
+  candidate.load = {tokens > 0 ? 1 : 0, tokens, 0, 0};
   candidate.typical_ms = token_ms;
   return candidate;
 }
@@ -51,15 +51,25 @@
 constexpr int64_t kMemory = 34'000;
 
 TEST_CASE("a short notice moves runs beside their engine", "[moving]") {
-  const moving::MoveSize size{4000, 500, 220};
+  const moving::MoveSize size{4000, 500, 220, 3};
   const std::vector<moving::Target> targets = {
       {Engine("far and empty", 0, 6), false},
       {Engine("near and half full", 14'000, 6), true}};
   CHECK(moving::ChooseTarget(targets, size, kMemory) == size_t{1});
 }
 
+TEST_CASE("runs of engines that leave together go to different links",
+          "[moving]") {
+  const moving::MoveSize size{4000, 500, 220, 3};
+  routing::Candidate busy = Engine("three copies on their way", 12'000, 6);
+  busy.load.arriving_tokens = 12'000;
+  const std::vector<moving::Target> targets = {
+      {busy, true}, {Engine("as full, no copies", 14'000, 6), true}};
+  CHECK(moving::ChooseTarget(targets, size, kMemory) == size_t{1});
+}
+
 TEST_CASE("a full engine takes no moved run", "[moving]") {
-  const moving::MoveSize size{4000, 500, 220};
+  const moving::MoveSize size{4000, 500, 220, 3};
   const std::vector<moving::Target> targets = {
       {Engine("near and full", 31'000, 6), true},
       {Engine("far and empty", 0, 6), false}};
@@ -71,8 +81,9 @@
   const routing::GenerationSize draft{3000, 1000};
   CHECK(routing::ChooseEngine({Engine("slow", 0, 14), Engine("fast", 8000, 6)},
                               draft, kMemory) == size_t{1});
-  CHECK(routing::ChooseEngine({Engine("slow", 0, 14), Engine("fast", 30'000, 6)},
-                              draft, kMemory) == size_t{0});
+  CHECK(
+      routing::ChooseEngine({Engine("slow", 0, 14), Engine("fast", 30'000, 6)},
+                            draft, kMemory) == size_t{0});
 }
 
 TEST_CASE("a draft stays in its data centre, where a cut does not reach it",
@@ -85,7 +96,8 @@
 
 TEST_CASE("a draft that does not fit waits", "[placement]") {
   const routing::GenerationSize draft{3000, 1000};
-  CHECK_FALSE(routing::ChooseEngine({Engine("full", 30'000, 6)}, draft, kMemory));
+  CHECK_FALSE(
+      routing::ChooseEngine({Engine("full", 30'000, 6)}, draft, kMemory));
 }
 
 TEST_CASE("a service with free slots gets no more than its slots",
@@ -102,9 +114,8 @@
           "[health]") {
   int ejected = 0;
   int readmitted = 0;
-  routing::UpstreamHealth health(
-      {[&](const UpstreamId&, Millis) { ++ejected; },
-       [&](const UpstreamId&) { ++readmitted; }});
+  routing::UpstreamHealth health({[&](const UpstreamId&, Millis) { ++ejected; },
+                                  [&](const UpstreamId&) { ++readmitted; }});
   const UpstreamId id("u-1");
   for (int i = 0; i < routing::UpstreamHealth::kFailuresInRow; ++i) {
     CHECK_FALSE(health.Ejected(id, Millis(i)));
--- a/test/forward-test.cc
+++ b/test/forward-test.cc
@@ -1,5 +1,8 @@
 #include <catch2/catch.hpp>
 
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
 #include "test/forward-support.h"
 
 namespace dandelion::test {
@@ -228,6 +231,198 @@
   CHECK(calls == 2);
 }
 
+/// A stream whose next event waits until the test lets it go.
+class HeldStream {
+ public:
+  explicit HeldStream(base::Executor executor) : gate_(std::move(executor)) {}
+
+  http::Handler Handler(int64_t held_after, int64_t last) {
+    return [this, held_after, last](http::Exchange& exchange) -> Task<void> {
+      http::Response head = Sealed(exchange.request(), "");
+      absl::Status written = co_await exchange.StartStream(std::move(head));
+      for (int64_t id = 1; written.ok() && id <= last; ++id) {
+        const std::string event = EventText(id);
+        written = co_await exchange.Write(event);
+        if (id == held_after && !open_) {
+          holding = true;
+          co_await base::WaitFor(gate_, base::Millis(10'000));
+        }
+        if (cut_) {
+          exchange.Abort();
+          co_return;
+        }
+      }
+      (void)co_await exchange.Finish();
+    };
+  }
+  void Open() {
+    open_ = true;
+    gate_.cancel();
+  }
+  void Cut() {
+    cut_ = true;
+    Open();
+  }
+  bool holding = false;
+
+ private:
+  boost::asio::steady_timer gate_;
+  bool open_ = false;
+  bool cut_ = false;
+};
+
+/// A draft that is on an engine that leaves after its second event.
+struct MoveRig : ForwardRig {
+  MoveRig() : held(executor()) {
+    AddRoute("draft", RequestKind::kGeneration);
+    Publish();
+    AddUpstream("u-1", "draft", held.Handler(2, 6));
+    base::Spawn(executor(), Send());
+    REQUIRE(Until([this] { return held.holding; }));
+    target = &AddUpstream("u-2", "draft", StreamUpTo(6, true));
+  }
+
+  Task<void> Send() {
+    http::Request request = CallerRequestFor("draft", "r-1");
+    request.headers.Add("X-Dandeliondyke-Token-Count", "100,50");
+    const boost::asio::ip::tcp::endpoint address(
+        boost::asio::ip::address_v4::loopback(), port());
+    http::FetchLimits limits;
+    limits.fresh_connection = true;
+    http::FetchResult result =
+        co_await caller.Fetch(address, std::move(request), limits);
+    answer = std::move(result.response);
+    done = true;
+  }
+
+  void Leave() {
+    fleet::UpstreamEntry entry = upstreams.Find(base::UpstreamId("u-1"))->entry;
+    entry.leaving = true;
+    upstreams.Set(base::UpstreamId("u-1"), entry, base::Millis(1));
+  }
+
+  HeldStream held;
+  FakeUpstream* target = nullptr;
+  http::Client caller;
+  absl::StatusOr<http::Response> answer = absl::UnknownError("none");
+  bool done = false;
+};
+
+TEST_CASE("a run moves when its engine leaves, inside the same answer",
+          "[moving]") {
+  MoveRig rig;
+  rig.engines.on_copy = [&rig](const base::RequestId&, bool stop) {
+    if (stop) {
+      rig.held.Cut();
+    }
+    return relay::CopyResult{relay::CopyOutcome::kCopied, "h-1", 2};
+  };
+  rig.Leave();
+  REQUIRE(rig.Until([&rig] { return rig.done; }));
+  REQUIRE(rig.answer.ok());
+  CHECK(rig.answer->body == EventsUpTo(6));
+  REQUIRE(rig.target->seen().size() == 1);
+  const http::Request& resumed = rig.target->seen()[0];
+  CHECK(resumed.headers.Find("Last-Event-Id") == "2");
+  CHECK(resumed.headers.Find("Kv-From").ends_with("/h-1"));
+  CHECK(rig.engines.copies == 2);
+  CHECK(rig.engines.dropped.empty());
+  CHECK(rig.loads.own().empty());
+}
+
+TEST_CASE("a run goes on at its copy when the engine dies before the last one",
+          "[moving]") {
+  MoveRig rig;
+  rig.engines.on_copy = [&rig](const base::RequestId&, bool) {
+    if (rig.engines.copies == 1) {
+      return relay::CopyResult{relay::CopyOutcome::kCopied, "h-1", 2};
+    }
+    rig.held.Cut();
+    return relay::CopyResult();
+  };
+  rig.Leave();
+  REQUIRE(rig.Until([&rig] { return rig.done; }));
+  REQUIRE(rig.answer.ok());
+  CHECK(rig.answer->body == EventsUpTo(6));
+}
+
+TEST_CASE("a copy that was not needed is freed", "[moving]") {
+  MoveRig rig;
+  rig.engines.on_copy = [&rig](const base::RequestId&, bool stop) {
+    rig.held.Open();
+    return stop ? relay::CopyResult{relay::CopyOutcome::kNoRun, "", 0}
+                : relay::CopyResult{relay::CopyOutcome::kCopied, "h-1", 2};
+  };
+  rig.Leave();
+  REQUIRE(rig.Until([&rig] { return rig.done; }));
+  REQUIRE(rig.answer.ok());
+  CHECK(rig.answer->body == EventsUpTo(6));
+  CHECK(rig.target->seen().empty());
+  CHECK(rig.Until([&rig] { return !rig.engines.dropped.empty(); }));
+}
+
+TEST_CASE("a caller that leaves ends the upstream's work", "[forward]") {
+  ForwardRig rig;
+  rig.AddRoute("draft", RequestKind::kGeneration);
+  rig.Publish();
+  HeldStream held(rig.executor());
+  bool gone = false;
+  bool ended = false;
+  const http::Handler stream = held.Handler(1, 9);
+  rig.AddUpstream("u-1", "draft", [&](http::Exchange& exchange) -> Task<void> {
+    exchange.OnCallerGone([&gone] { gone = true; });
+    co_await stream(exchange);
+    ended = true;
+  });
+  boost::asio::ip::tcp::socket caller(rig.executor());
+  caller.connect({boost::asio::ip::address_v4::loopback(), rig.port()});
+  const std::string request =
+      "GET /draft/1 HTTP/1.1\r\nHost: front.example\r\n"
+      "X-Dandeliondyke-Request-Id: r-1\r\n\r\n";
+  boost::asio::write(caller, boost::asio::buffer(request));
+  REQUIRE(rig.Until([&held] { return held.holding; }));
+  caller.close();
+  CHECK(rig.Until([&gone] { return gone; }));
+  held.Cut();
+  CHECK(rig.Until([&ended] { return ended; }));
+}
+
+TEST_CASE("an upstream that hangs costs its caller no more than the timeout",
+          "[forward]") {
+  ForwardRig rig;
+  rig.AddRoute("write", RequestKind::kNonIdempotent).timeout =
+      base::Millis(100);
+  rig.Publish();
+  rig.AddUpstream("u-1", "write", [](http::Exchange& exchange) -> Task<void> {
+    exchange.FallSilent();
+    co_return;
+  });
+  const auto response = rig.Ask(CallerRequestFor("write", "r-1"));
+  REQUIRE(response.ok());
+  CHECK(response->status == 504);
+}
+
+TEST_CASE("two lengths of one body are refused", "[forward]") {
+  ForwardRig rig;
+  rig.AddRoute("read", RequestKind::kIdempotent);
+  rig.Publish();
+  FakeUpstream& upstream = rig.AddUpstream("u-1", "read", AnswerWhole);
+  boost::asio::ip::tcp::socket caller(rig.executor());
+  caller.connect({boost::asio::ip::address_v4::loopback(), rig.port()});
+  const std::string request =
+      "POST /read/1 HTTP/1.1\r\nHost: front.example\r\n"
+      "X-Dandeliondyke-Request-Id: r-1\r\nContent-Length: 4\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+  boost::asio::write(caller, boost::asio::buffer(request));
+  std::string answer;
+  bool done = false;
+  boost::asio::async_read(caller, boost::asio::dynamic_buffer(answer),
+                          [&done](auto, size_t) { done = true; });
+  REQUIRE(rig.Until([&done] { return done; }));
+  CHECK(answer.starts_with("HTTP/1.1 400"));
+  CHECK(upstream.seen().empty());
+}
+
 TEST_CASE("a stream that can't be resumed breaks off as its engine does",
           "[stream]") {
   ForwardRig rig;
--- a/test/knowledge-test.cc
+++ b/test/knowledge-test.cc
@@ -125,6 +125,7 @@
     hooks.on_loads = [](const HostId&, const proto::FleetBeat&) {};
     hooks.on_peer_down = [](const HostId&) {};
     hooks.reading = [self] { return self->reading; };
+    hooks.store_slow = [] { return false; };
     return hooks;
   }
 
