--- a/src/relay/send_once.cc
+++ b/src/relay/send_once.cc
@@ -125,10 +125,9 @@
     return false;
   }
   // Without a connection no upstream had any work.
-  const bool again =
-      end == SendEnd::kNotSent ||
-      services.repeats.TrySpend(pool.name, services.clock.Now(),
-                                services.daemons());
+  const bool again = end == SendEnd::kNotSent ||
+                     services.repeats.TrySpend(pool.name, services.clock.Now(),
+                                               services.daemons());
   Emit(Event::kForwardRetried, {{"request", call.entry.caller.id.value()},
                                 {"pool", pool.name.value()},
                                 {"end", std::string(ToString(end))},
