Take no work that a stop would cut

Change: while a daemon stops, a generation that is expected to outlast it, and anything in its last 0.7 s, is refused as not run with a short Retry-After; idle connections are closed once the balancer sends new ones elsewhere.

--- a/src/kernel/fleet_daemon.cc
+++ b/src/kernel/fleet_daemon.cc
@@ -114,16 +114,20 @@
 
   Task<void> Drain() {
     const Millis started = clock_.Now();
+    stop_at_ = started + settings_.stop_grace - kStopMargin;
     draining_ = true;
     mesh_.SetDraining();
     callers_.AnnounceClose();
     Emit(Event::kDrainStarted,
          {{"in_flight", absl::StrCat(callers_.in_flight())}});
-    const Millis end = started + settings_.stop_grace - kStopMargin;
-    while (clock_.Now() < end) {
+    while (clock_.Now() < stop_at_) {
       co_await base::Delay(kDrainCheck);
-      const bool noticed = clock_.Now() - started >= kStopNotice;
-      if (noticed && callers_.in_flight() == 0) {
+      if (clock_.Now() - started < kStopNotice) {
+        continue;
+      }
+      // The balancer sends new connections elsewhere now.
+      callers_.CloseIdle();
+      if (callers_.in_flight() == 0) {
         break;
       }
     }
@@ -302,6 +306,9 @@
     state.catalogue = knowledge_.catalogue();
     state.catalogue_age = knowledge_.AgeOf(Topic::kOperator);
     state.most_key_age = settings_.strict_keys ? settings_.key_trust : kForGood;
+    if (draining_) {
+      state.stops_in = stop_at_ - clock_.Now();
+    }
     return state;
   }
 
@@ -502,6 +509,7 @@
   http::Server readiness_;
   http::Server metrics_server_;
   bool draining_ = false;
+  Millis stop_at_;
   bool ready_ = false;
   bool reading_ = false;
   bool store_silent_ = true;
--- a/src/kernel/fleet_settings.cc
+++ b/src/kernel/fleet_settings.cc
@@ -70,7 +70,7 @@
 
 absl::Status ReadPeerAddress(const json& value, FleetSettings* settings) {
   boost::asio::ip::tcp::endpoint endpoint;
-  const absl::Status read = ReadEndpoint(value, &endpoint);
+  absl::Status read = ReadEndpoint(value, &endpoint);
   if (read.ok()) {
     settings->peer_address = value.get<std::string>();
   }
--- a/src/relay/caller_gate.cc
+++ b/src/relay/caller_gate.cc
@@ -3,17 +3,29 @@
 #include <algorithm>
 #include <string_view>
 
+#include "relay/generation_size.h"
+
 namespace dandelion::relay {
 namespace {
 
 using base::Millis;
 
 constexpr Millis kRetryWithoutCatalogue{500};
+// A plain request that a stop would cut any sooner is not begun.
+constexpr Millis kPlainReserve{700};
+// Other daemons take the request now.
+constexpr Millis kRetryElsewhere{20};
 constexpr int kBadRequest = 400;
 constexpr int kUnauthorised = 401;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 
+Millis TimeNeeded(const fleet::Route& route, const CallerRequest& caller) {
+  return route.kind == fleet::RequestKind::kGeneration
+             ? std::max(kPlainReserve, ExpectedTime(SizeOf(caller)))
+             : kPlainReserve;
+}
+
 }  // namespace
 
 std::variant<Entry, Refusal> PassGate(const http::Request& request,
@@ -53,6 +65,9 @@
     entry.organisation = owner->second.name;
     entry.priority = owner->second.priority.value_or(route->priority);
   }
+  if (state.stops_in && TimeNeeded(*route, *read) > *state.stops_in) {
+    return Refusal{kUnavailable, "this daemon stops", kRetryElsewhere};
+  }
   entry.time_left =
       std::min(route->timeout, read->deadline.value_or(route->timeout));
   return entry;
--- a/src/relay/caller_gate.h
+++ b/src/relay/caller_gate.h
@@ -17,6 +17,8 @@
   base::Millis catalogue_age{0};
   /// A key is trusted only while the configuration is younger than this.
   base::Millis most_key_age{0};
+  /// While the daemon stops: the time until it cuts what still runs.
+  std::optional<base::Millis> stops_in;
 };
 
 /// A request that may go on.
@@ -38,10 +40,11 @@
 };
 
 /// Decides whether a request may enter: a route, a key that is known to be
-/// valid, and time left.
+/// valid, and time left to serve it.
 ///
 /// Load pattern: keys taken away while daemons are cut off or suspended; a
-/// daemon that has no configuration yet never denies a route or a key.
+/// daemon that has no configuration yet never denies a route or a key; long
+/// drafts on kept connections to a daemon that stops, which would cut them.
 std::variant<Entry, Refusal> PassGate(const http::Request& request,
                                       const absl::StatusOr<CallerRequest>& read,
                                       const GateState& state);
--- a/src/relay/send_once.cc
+++ b/src/relay/send_once.cc
@@ -18,10 +18,6 @@
 
 constexpr Millis kServiceConnectTimeout{150};
 constexpr Millis kEngineConnectTimeout{250};
-// Outputs that the caller gives no estimate for.
-constexpr int64_t kDefaultOutputTokens = 256;
-// Estimates are right in the median; memory is planned for longer outputs.
-constexpr double kLengthMargin = 1.25;
 
 void NoteHealth(const ForwardServices& services,
                 const moving::Place& place,
@@ -104,19 +100,6 @@
   return fleet::ChoosePool(*call.entry.catalogue, call.entry.route, point);
 }
 
-routing::GenerationSize SizeOf(const CallerRequest& caller) {
-  routing::GenerationSize size;
-  size.prompt_tokens = caller.prompt_tokens;
-  const auto expected = static_cast<double>(
-      caller.expected_output_tokens.value_or(kDefaultOutputTokens));
-  size.output_tokens = static_cast<int64_t>(expected * kLengthMargin);
-  if (caller.most_output_tokens > 0) {
-    size.output_tokens =
-        std::min(size.output_tokens, caller.most_output_tokens);
-  }
-  return size;
-}
-
 bool TrySendAgain(const ForwardServices& services,
                   const ForwardCall& call,
                   const fleet::Pool& pool,
--- a/src/relay/send_once.h
+++ b/src/relay/send_once.h
@@ -18,9 +18,6 @@
 /// The request's pool, by the weights of its route; null if none is defined.
 const fleet::Pool* PoolOf(const ForwardCall& call);
 
-/// What is known of a generation's length before it runs.
-routing::GenerationSize SizeOf(const CallerRequest& caller);
-
 /// Whether to try another upstream after `end`; spends a repeat if so.
 bool TrySendAgain(const ForwardServices& services,
                   const ForwardCall& call,
--- a/src/relay/stream_forward.cc
+++ b/src/relay/stream_forward.cc
@@ -7,6 +7,7 @@
 #include "absl/cleanup/cleanup.h"
 #include "absl/strings/str_cat.h"
 #include "relay/event_splitter.h"
+#include "relay/generation_size.h"
 #include "relay/send_once.h"
 #include "telemetry/events.h"
 
--- a/test/decisions-test.cc
+++ b/test/decisions-test.cc
@@ -208,14 +208,18 @@
     relay::CallerRequest caller;
     caller.key = key;
     caller.deadline = Millis(1000);
+    caller.expected_output_tokens = expected_output;
     const relay::GateState state{
-        std::make_shared<const fleet::Catalogue>(catalogue), age, Millis(4000)};
+        std::make_shared<const fleet::Catalogue>(catalogue), age, Millis(4000),
+        stops_in};
     passed = relay::PassGate(request, caller, state);
     const auto* refusal = std::get_if<relay::Refusal>(&passed);
     return refusal ? refusal->status : 200;
   }
 
   fleet::Catalogue catalogue;
+  std::optional<Millis> stops_in;
+  int64_t expected_output = 0;
   http::Request request;
   std::variant<relay::Entry, relay::Refusal> passed;
 };
@@ -234,6 +238,23 @@
   CHECK(rig.StatusOf("other", Millis(4001)) == 503);
 }
 
+TEST_CASE("a daemon that stops takes no draft that it would cut", "[gate]") {
+  GateRig rig;
+  rig.catalogue.routes[0].kind = fleet::RequestKind::kGeneration;
+  rig.expected_output = 1000;
+  CHECK(rig.StatusOf("key", Millis(100)) == 200);
+  rig.stops_in = Millis(4000);
+  CHECK(rig.StatusOf("key", Millis(100)) == 503);
+  CHECK(std::get<relay::Refusal>(rig.passed).retry_after.has_value());
+  rig.expected_output = 10;
+  CHECK(rig.StatusOf("key", Millis(100)) == 200);
+  // In its last moments it takes nothing.
+  rig.catalogue.routes[0].kind = fleet::RequestKind::kIdempotent;
+  CHECK(rig.StatusOf("key", Millis(100)) == 200);
+  rig.stops_in = Millis(100);
+  CHECK(rig.StatusOf("key", Millis(100)) == 503);
+}
+
 TEST_CASE("the longest prefix decides, and public routes need no key",
           "[gate]") {
   GateRig rig;
--- a/test/forward-support.cc
+++ b/test/forward-support.cc
@@ -74,7 +74,8 @@
       executor(), clock_, dialect_, *placer, *mover, engines, health, loads,
       repeats, metrics, [] { return size_t{1}; },
       [this] {
-        return relay::GateState{catalogue_, catalogue_age, Millis(4000)};
+        return relay::GateState{catalogue_, catalogue_age, Millis(4000),
+                                std::nullopt};
       }});
   callers_ = std::make_unique<http::Server>(
       executor(), http::ServerLimits(), [this](http::Exchange& exchange) {
