Pass an engine's failure on when no other engine can be asked

Cause: read in review: a resumable generation whose engine answered with a failure waited for another engine, and got a failure of our own if none came.

Change: as for plain requests: another place that is free now, or the answer at hand. A last copy that returns after the stream went on elsewhere is ignored.

Conclusion: both kinds of request share one rule.

--- a/src/moving/mover.cc
+++ b/src/moving/mover.cc
@@ -184,7 +184,8 @@
         {"outcome", std::string(ToString(result.outcome))},
         {"took_ms", absl::StrCat(took.count())},
         {"events", absl::StrCat(result.events_made)}});
-  if (run->ended || !run->copy) {
+  const bool switched = run->place.address != source_address;
+  if (run->ended || !run->copy || switched) {
     co_return;
   }
   if (!result.handle.empty()) {
--- a/src/relay/plain_forward.cc
+++ b/src/relay/plain_forward.cc
@@ -99,19 +99,6 @@
   co_return reply;
 }
 
-// Another upstream for a request that may be sent again. It doesn't wait for
-// one: what the first upstream answered is due to the caller.
-std::optional<moving::Place> PlaceAgain(const ForwardServices& services,
-                                        const ForwardCall& call,
-                                        const PlaceRequest& request,
-                                        SendEnd end) {
-  if (services.placer.Candidates(request).empty() ||
-      !TrySendAgain(services, call, request.pool, end)) {
-    return std::nullopt;
-  }
-  return services.placer.TryPlace(request);
-}
-
 }  // namespace
 
 Task<ForwardEnd> ForwardPlain(const ForwardServices& services,
@@ -129,8 +116,11 @@
                         call->entry.route.Repeatable();
     request.excluded.insert(place->upstream);
     place.reset();
-    if (reply.head.end != SendEnd::kAnswered || failed) {
+    if (failed) {
       place = PlaceAgain(services, *call, request, reply.head.end);
+    } else if (reply.head.end != SendEnd::kAnswered &&
+               TrySendAgain(services, *call, pool, reply.head.end)) {
+      place = co_await services.placer.Place(request);
     }
     if (!place && reply.head.end == SendEnd::kAnswered) {
       co_return co_await PassAnswer(services, call, reply.head,
--- a/src/relay/send_once.cc
+++ b/src/relay/send_once.cc
@@ -119,4 +119,15 @@
   return again;
 }
 
+std::optional<moving::Place> PlaceAgain(const ForwardServices& services,
+                                        const ForwardCall& call,
+                                        const PlaceRequest& request,
+                                        SendEnd end) {
+  if (services.placer.Candidates(request).empty() ||
+      !TrySendAgain(services, call, request.pool, end)) {
+    return std::nullopt;
+  }
+  return services.placer.TryPlace(request);
+}
+
 }  // namespace dandelion::relay
--- a/src/relay/send_once.h
+++ b/src/relay/send_once.h
@@ -24,4 +24,12 @@
                   const fleet::Pool& pool,
                   SendEnd end);
 
+/// Another upstream for a request that may be sent again; nothing if there is
+/// none that is free now. It doesn't wait: what the first upstream answered is
+/// due to the caller.
+std::optional<moving::Place> PlaceAgain(const ForwardServices& services,
+                                        const ForwardCall& call,
+                                        const PlaceRequest& request,
+                                        SendEnd end);
+
 }  // namespace dandelion::relay
--- a/src/relay/stream_forward.cc
+++ b/src/relay/stream_forward.cc
@@ -68,37 +68,39 @@
   bool started() const { return started_; }
 
   Task<ForwardEnd> Forward() {
-    PlaceRequest request = MakePlaceRequest();
-    for (;;) {
-      std::optional<Place> place = co_await services_.placer.Place(request);
-      if (!place) {
-        co_return Ended(call_->EndOr(result_.end), "no engine has room");
-      }
-      request.excluded.insert(place->upstream);
+    MakePlaceRequest();
+    std::optional<Place> place = co_await services_.placer.Place(request_);
+    if (!place) {
+      co_return Ended(call_->EndOr(SendEnd::kNotSent), "no engine has room");
+    }
+    while (place) {
+      request_.excluded.insert(place->upstream);
       run_->place = *std::move(place);
-      const SendEnd end = co_await RunAt(std::nullopt);
+      place.reset();
+      const SendEnd end = co_await RunAtPlace();
       if (done_ || call_->ended()) {
-        co_return result_;
-      }
-      if (!TrySendAgain(services_, *call_, pool_, end)) {
-        co_return result_;
+        break;
       }
       GoOnAfterLastEvent();
+      if (next_place_) {
+        place = std::exchange(next_place_, std::nullopt);
+      } else if (TrySendAgain(services_, *call_, pool_, end)) {
+        place = co_await services_.placer.Place(request_);
+      }
     }
+    co_return result_;
   }
 
  private:
-  PlaceRequest MakePlaceRequest() {
-    PlaceRequest request;
-    request.pool = pool_;
-    request.organisation = call_->entry.organisation;
-    request.size = run_->size;
-    request.is_short = run_->size.output_tokens < kShortOutputTokens;
-    request.wake = &call_->wake;
-    request.wait_until =
+  void MakePlaceRequest() {
+    request_.pool = pool_;
+    request_.organisation = call_->entry.organisation;
+    request_.size = run_->size;
+    request_.is_short = run_->size.output_tokens < kShortOutputTokens;
+    request_.wake = &call_->wake;
+    request_.wait_until =
         std::min(call_->due(), services_.clock.Now() +
                                    call_->entry.route.answer_aim * kWaitAims);
-    return request;
   }
 
   ForwardEnd Ended(SendEnd end, std::string reason) {
@@ -110,9 +112,9 @@
   }
 
   // Runs at `run_->place`, and at copies of the run after that.
-  Task<SendEnd> RunAt(std::optional<RunCopy> copy) {
+  Task<SendEnd> RunAtPlace() {
     services_.mover.Add(run_);
-    SendEnd end = co_await PassStream(std::move(copy));
+    SendEnd end = co_await PassStream(std::nullopt);
     while (!done_ && !call_->ended()) {
       const bool goes_on = co_await SwitchToCopy();
       if (!goes_on) {
@@ -178,10 +180,10 @@
     co_return co_await PassEvents(reply);
   }
 
+  // A failure goes to the caller unless another engine can be asked now.
   Task<SendEnd> PassFailure(UpstreamReply& reply) {
-    const bool can_repeat =
-        MaySendAgain(call_->entry.route, call_->history) && !call_->ended();
-    if (!started_ && !can_repeat) {
+    next_place_ = PlaceAgain(services_, *call_, request_, SendEnd::kAnswered);
+    if (!started_ && !next_place_) {
       result_ = co_await PassAnswer(services_, call_, reply, "");
       done_ = true;
       co_return SendEnd::kAnswered;
@@ -242,7 +244,6 @@
 
   void NoteEvent(Millis* last_at) {
     const Millis now = services_.clock.Now();
-    const std::string organisation_class = call_->entry.route.name.value();
     if (!run_->begun) {
       run_->begun = true;
       run_->place.ticket.MarkRead();
@@ -253,7 +254,7 @@
     }
     if (!started_) {
       services_.metrics.Observe(Timing::kFirstToken, call_->entry.organisation,
-                                organisation_class,
+                                call_->entry.route.name.value(),
                                 (now - call_->arrived).seconds());
     }
     *last_at = now;
@@ -288,6 +289,9 @@
 
   const ForwardServices& services_;
   ForwardCallPtr call_;
+  PlaceRequest request_;
+  /// Where a request that has failed goes next.
+  std::optional<Place> next_place_;
   fleet::Pool pool_;
   RunPtr run_;
   EventSplitter splitter_;
--- a/test/forward-test.cc
+++ b/test/forward-test.cc
@@ -423,6 +423,20 @@
   CHECK(upstream.seen().empty());
 }
 
+TEST_CASE("an engine's failure goes to the caller if no other can be asked",
+          "[stream]") {
+  ForwardRig rig;
+  fleet::Route& route = rig.AddRoute("check", RequestKind::kGeneration);
+  route.resumable = true;
+  route.most_upstreams = 2;
+  rig.Publish();
+  rig.AddUpstream("u-1", "check", FailWhole);
+  const auto response = rig.Ask(CallerRequestFor("check", "r-1"));
+  REQUIRE(response.ok());
+  CHECK(response->status == 500);
+  CHECK(response->headers.Has("X-Dandeliondyke-Response-Seal"));
+}
+
 TEST_CASE("a stream that can't be resumed breaks off as its engine does",
           "[stream]") {
   ForwardRig rig;
