--- a/src/admission/fair_queue.h
+++ b/src/admission/fair_queue.h
@@ -13,7 +13,7 @@
 struct Waiter {
   uint64_t ticket = 0;
   base::OrganisationId organisation;
-  /// Short requests go before long ones.
+  /// Short or urgent requests go before others.
   bool is_short = false;
   /// Expected tokens; the unit of fairness.
   double cost = 1;
--- a/src/fleet/catalogue.h
+++ b/src/fleet/catalogue.h
@@ -43,8 +43,6 @@
   base::Millis timeout{30'000};
   /// Time to the answer, or to a stream's first event, that is aimed at.
   base::Millis answer_aim{1000};
-  /// Longest pause between two events that is aimed at.
-  base::Millis event_gap_aim{1000};
   /// 0 is the most urgent.
   int priority = 0;
   /// Upstreams to which one request may be sent.
@@ -69,19 +67,13 @@
   /// Link for moved memory, in Mbit/s.
   double link_mbps = 0;
   bool can_move_runs = false;
-  bool can_back_up_runs = false;
   /// Tokens in one event of a stream.
   int64_t tokens_per_event = 1;
-  /// A copy that is not used is kept at least this long.
-  base::Millis copy_kept{0};
 };
 
 /// Upstreams under one name.
 struct Pool {
   base::PoolName name;
-  std::string health_path;
-  /// Connections that one upstream accepts from all callers together.
-  int64_t most_connections = 0;
   /// Requests a second that a cold upstream bears; 0 if it is never cold.
   double cold_requests_per_second = 0;
   /// Absent for plain services.
--- a/src/kernel/fleet_daemon.cc
+++ b/src/kernel/fleet_daemon.cc
@@ -11,6 +11,7 @@
 #include "membership/mesh.h"
 #include "membership/transport.h"
 #include "relay/forwarder.h"
+#include "routing/load_exchange.h"
 #include "store/follower.h"
 #include "store/reader_duty.h"
 #include "telemetry/events.h"
@@ -71,7 +72,7 @@
         mover_(executor, clock_, adapter_.engines, MoverHooks()),
         repeats_(RepeatBounds()),
         forwarder_({executor, clock_, adapter_.dialect, placer_, mover_,
-                    adapter_.engines, health_, loads_, repeats_, metrics_,
+                    adapter_.engines, health_, repeats_, metrics_,
                     [this] { return mesh_.Daemons(); },
                     [this] { return Gate(); }}),
         callers_(executor,
@@ -404,10 +405,12 @@
                              Millis proven_at) {
       OnUpdate(topic, update, proven_at, false);
     };
-    hooks.loads = [this](bool all) { return OwnLoads(all); };
+    hooks.loads = [this](bool all) {
+      return routing::OwnLoads(loads_, health_, all);
+    };
     hooks.loads_changed = [this] { return loads_.changed(); };
     hooks.on_loads = [this](const HostId& from, const proto::FleetBeat& beat) {
-      TakeLoads(from, beat);
+      routing::TakeLoads(from, beat, loads_, health_);
     };
     hooks.on_peer_down = [this](const HostId& id) { loads_.DropPeer(id); };
     hooks.reading = [this] { return duty_.reading(); };
@@ -415,48 +418,6 @@
     return hooks;
   }
 
-  std::vector<proto::UpstreamLoad> OwnLoads(bool all) {
-    std::set<UpstreamId> ids;
-    if (all) {
-      for (const auto& [id, load] : loads_.own()) {
-        ids.insert(id);
-      }
-    } else {
-      ids = loads_.TakeChanged();
-    }
-    constexpr double kUsPerMs = 1000;
-    std::vector<proto::UpstreamLoad> loads;
-    for (const UpstreamId& id : ids) {
-      const routing::Load own = loads_.Own(id);
-      proto::UpstreamLoad& load = loads.emplace_back();
-      load.set_upstream(id.value());
-      load.set_running(own.running);
-      load.set_tokens(own.tokens);
-      load.set_unread_tokens(own.unread_tokens);
-      load.set_arriving_tokens(own.arriving_tokens);
-      load.set_token_us(
-          static_cast<int64_t>(health_.OwnTokenMs(id).value_or(0) * kUsPerMs));
-    }
-    return loads;
-  }
-
-  void TakeLoads(const HostId& from, const proto::FleetBeat& beat) {
-    constexpr double kUsPerMs = 1000;
-    if (beat.all_loads()) {
-      loads_.DropPeer(from);
-    }
-    for (const proto::UpstreamLoad& load : beat.loads()) {
-      const UpstreamId id(load.upstream());
-      loads_.SetPeer(from, id,
-                     {load.running(), load.tokens(), load.unread_tokens(),
-                      load.arriving_tokens()});
-      if (load.token_us() > 0) {
-        health_.NotePeerTokenTime(
-            id, static_cast<double>(load.token_us()) / kUsPerMs);
-      }
-    }
-  }
-
   routing::UpstreamHealth::Hooks HealthHooks() {
     return {[](const UpstreamId& id, Millis time) {
               Emit(Event::kUpstreamEjected,
@@ -469,10 +430,16 @@
   }
 
   moving::Mover::Hooks MoverHooks() {
-    return {
-        [this](const moving::Run& run, const std::set<UpstreamId>& excluded) {
-          return ChooseTarget(run, excluded);
-        }};
+    moving::Mover::Hooks hooks;
+    hooks.choose = [this](const moving::Run& run,
+                          const std::set<UpstreamId>& excluded) {
+      return ChooseTarget(run, excluded);
+    };
+    hooks.leaving = [this](const UpstreamId& id) {
+      const fleet::Upstream* upstream = upstreams_.Find(id);
+      return upstream && upstream->leaving_since;
+    };
+    return hooks;
   }
 
   std::optional<moving::Place> ChooseTarget(
--- a/src/membership/mesh.cc
+++ b/src/membership/mesh.cc
@@ -190,7 +190,7 @@
     return;
   }
   Peer& peer = Meet(from, pull.address());
-  proto::Envelope answer = MakeBeat(peer, true);
+  proto::Envelope answer = MakeBeat(peer, false);
   proto::FleetBeat* beat = answer.mutable_fleet_beat();
   beat->clear_updates();
   for (const Topic topic : kAllTopics) {
--- a/src/moving/mover.cc
+++ b/src/moving/mover.cc
@@ -56,7 +56,7 @@
 
 void Mover::Add(const RunPtr& run) {
   runs_.emplace(run->place.upstream, run);
-  if (leaving_.contains(run->place.upstream)) {
+  if (hooks_.leaving(run->place.upstream)) {
     Leave(run->place.upstream, "placed on a leaving engine");
   }
 }
@@ -66,7 +66,6 @@
 }
 
 void Mover::Leave(const UpstreamId& upstream, const std::string& reason) {
-  leaving_.insert(upstream);
   const auto [first, last] = runs_.equal_range(upstream);
   std::vector<RunPtr> to_move;
   for (auto item = first; item != last; ++item) {
--- a/src/moving/mover.h
+++ b/src/moving/mover.h
@@ -24,6 +24,8 @@
         const Run& run,
         const std::set<base::UpstreamId>& excluded)>
         choose;
+    /// Whether an engine is known to leave.
+    std::function<bool(const base::UpstreamId&)> leaving;
   };
 
   Mover(const base::Executor& executor,
@@ -53,7 +55,6 @@
   relay::EngineControl& engines_;
   Hooks hooks_;
   std::multimap<base::UpstreamId, RunPtr> runs_;
-  std::set<base::UpstreamId> leaving_;
   uint64_t moved_ = 0;
   uint64_t failed_ = 0;
 };
--- a/src/relay/dialect.h
+++ b/src/relay/dialect.h
@@ -15,12 +15,6 @@
 
 namespace dandelion::relay {
 
-/// A part of a prompt that requests may share.
-struct PrefixPart {
-  std::string hash;
-  int64_t tokens = 0;
-};
-
 /// What a caller says of its request beside method, target and body.
 struct CallerRequest {
   base::RequestId id;
@@ -32,7 +26,6 @@
   int64_t most_output_tokens = 0;
   /// The caller's estimate; right in the median, but often far off.
   std::optional<int64_t> expected_output_tokens;
-  std::vector<PrefixPart> prefix;
   /// The stream goes on after this event.
   std::optional<int64_t> after_event;
 };
@@ -65,7 +58,6 @@
   bool encoded = false;
   /// The request that is answered; empty if the upstream does not say.
   base::RequestId request;
-  std::optional<base::Millis> retry_after;
 };
 
 /// How callers and upstreams of one platform put requests and answers.
@@ -106,13 +98,8 @@
 
 /// An engine's own word on its state, some hundred milliseconds old.
 struct EngineReport {
+  /// It ends soon.
   bool leaving = false;
-  /// How long it goes on; absent if it does not know.
-  std::optional<base::Millis> leaves_in;
-  int64_t waiting = 0;
-  int64_t running = 0;
-  int64_t memory_used = 0;
-  int64_t memory_total = 0;
 };
 
 /// Orders to model engines.
--- a/src/relay/forwarder.h
+++ b/src/relay/forwarder.h
@@ -27,7 +27,6 @@
   moving::Mover& mover;
   EngineControl& engines;
   routing::UpstreamHealth& health;
-  routing::LoadBook& loads;
   RepeatLimit& repeats;
   telemetry::Metrics& metrics;
   std::function<size_t()> daemons;
--- a/src/relay/placer.cc
+++ b/src/relay/placer.cc
@@ -144,7 +144,7 @@
   admission::Waiter waiter;
   waiter.ticket = ++last_ticket_;
   waiter.organisation = waiting.request.organisation;
-  waiter.is_short = waiting.request.is_short;
+  waiter.is_short = waiting.request.is_urgent;
   waiter.cost = waiting.request.size
                     ? static_cast<double>(waiting.request.size->Memory())
                     : 1.0;
--- a/src/relay/placer.h
+++ b/src/relay/placer.h
@@ -26,8 +26,8 @@
   base::OrganisationId organisation;
   /// Absent for plain services.
   std::optional<routing::GenerationSize> size;
-  /// Short requests go before long ones.
-  bool is_short = true;
+  /// Urgent requests go before others.
+  bool is_urgent = false;
   /// Upstreams that have failed this request.
   std::set<base::UpstreamId> excluded;
   /// Waiting longer is of no use.
--- a/src/relay/stream_forward.cc
+++ b/src/relay/stream_forward.cc
@@ -28,7 +28,8 @@
 // A generation waits for room this many times its aim, while it can still be
 // late but whole.
 constexpr int64_t kWaitAims = 3;
-// Generations with a shorter output are short.
+constexpr int kMostUrgent = 0;
+// Generations with a shorter output are urgent: they free their memory soon.
 constexpr int64_t kShortOutputTokens = 128;
 // Until the mover has learned how its last copy ended.
 constexpr Millis kSettleTimeout{1500};
@@ -96,7 +97,8 @@
     request_.pool = pool_;
     request_.organisation = call_->entry.organisation;
     request_.size = run_->size;
-    request_.is_short = run_->size.output_tokens < kShortOutputTokens;
+    request_.is_urgent = call_->entry.priority == kMostUrgent ||
+                         run_->size.output_tokens < kShortOutputTokens;
     request_.wake = &call_->wake;
     request_.wait_until =
         std::min(call_->due(), services_.clock.Now() +
--- a/test/decisions-test.cc
+++ b/test/decisions-test.cc
@@ -5,6 +5,8 @@
 #include "relay/attempt_rules.h"
 #include "relay/caller_gate.h"
 #include "relay/event_splitter.h"
+#include "routing/load_exchange.h"
+#include "routing/load_ticket.h"
 #include "routing/placement.h"
 #include "routing/upstream_health.h"
 
@@ -100,6 +102,40 @@
       routing::ChooseEngine({Engine("full", 30'000, 6)}, draft, kMemory));
 }
 
+TEST_CASE("peers know each other's work, and that it has ended", "[loads]") {
+  const routing::UpstreamHealth::Hooks quiet{[](const UpstreamId&, Millis) {},
+                                             [](const UpstreamId&) {}};
+  routing::LoadBook own;
+  routing::LoadBook other;
+  routing::UpstreamHealth own_health(quiet);
+  routing::UpstreamHealth other_health(quiet);
+  const base::HostId peer("a");
+  const UpstreamId id("u-1");
+  const auto tell = [&](bool all) {
+    proto::FleetBeat beat;
+    beat.set_all_loads(all);
+    for (const auto& load : routing::OwnLoads(own, own_health, all)) {
+      *beat.add_loads() = load;
+    }
+    routing::TakeLoads(peer, beat, other, other_health);
+  };
+  own_health.NoteTokenTime(id, 6.5);
+  routing::LoadTicket ticket(own, id, {1, 4000, 3000, 0});
+  tell(false);
+  CHECK(other.Total(id).tokens == 4000);
+  CHECK(other_health.TokenMs(id) == 6.5);
+  ticket.MarkRead();
+  tell(false);
+  CHECK(other.Total(id).unread_tokens == 0);
+  ticket.Release();
+  tell(false);
+  CHECK(other.Total(id) == routing::Load());
+  // News that were lost are made good by the next whole beat.
+  other.SetPeer(peer, id, {3, 9000, 0, 0});
+  tell(true);
+  CHECK(other.Total(id) == routing::Load());
+}
+
 TEST_CASE("a service with free slots gets no more than its slots",
           "[placement]") {
   routing::Candidate service;
--- a/test/forward-support.cc
+++ b/test/forward-support.cc
@@ -65,14 +65,19 @@
       relay::Placer::Hooks{[] { return size_t{1}; }});
   mover = std::make_unique<moving::Mover>(
       executor(), clock_, engines,
-      moving::Mover::Hooks{[this](const moving::Run& run,
-                                  const std::set<base::UpstreamId>& excluded) {
-        return placer->ChooseMoveTarget(run, *catalogue_->FindPool(run.pool),
-                                        excluded);
-      }});
+      moving::Mover::Hooks{
+          [this](const moving::Run& run,
+                 const std::set<base::UpstreamId>& excluded) {
+            return placer->ChooseMoveTarget(
+                run, *catalogue_->FindPool(run.pool), excluded);
+          },
+          [this](const base::UpstreamId& id) {
+            const fleet::Upstream* upstream = upstreams.Find(id);
+            return upstream && upstream->leaving_since;
+          }});
   forwarder_ = std::make_unique<relay::Forwarder>(relay::ForwardServices{
-      executor(), clock_, dialect_, *placer, *mover, engines, health, loads,
-      repeats, metrics, [] { return size_t{1}; },
+      executor(), clock_, dialect_, *placer, *mover, engines, health, repeats,
+      metrics, [] { return size_t{1}; },
       [this] {
         return relay::GateState{catalogue_, catalogue_age, Millis(4000),
                                 std::nullopt};
