Let the deadline's watch decide how a send ended; gauge cold limits by a test

The time-out of the read and the deadline had the same length, and when the read's fired first the send counted as broken. Retry-After came from a generator that starts alike on every daemon.

Change: operations time out a second after the deadline; a seeded generator.

Ruled out: the test's own time limit (10 s).

Conclusion: a real fault, mended.

--- a/src/relay/forward_call.cc
+++ b/src/relay/forward_call.cc
@@ -37,6 +37,11 @@
   });
 }
 
+Millis ForwardCall::OperationTimeout(Millis now) const {
+  constexpr Millis kAfterDeadline{1000};
+  return std::max(Millis(0), due() - now) + kAfterDeadline;
+}
+
 void ForwardCall::Stop() {
   if (finished_) {
     return;
--- a/src/relay/forward_call.h
+++ b/src/relay/forward_call.h
@@ -32,6 +32,9 @@
   bool ended() const { return caller_gone_ || timed_out_; }
   bool caller_gone() const { return caller_gone_; }
   base::Millis due() const { return arrived + entry.time_left; }
+  /// A time-out for one operation on the upstream's connection. It lies after
+  /// the deadline, so that the watch decides how the work ended.
+  base::Millis OperationTimeout(base::Millis now) const;
 
   http::Exchange& exchange;
   const Entry entry;
--- a/src/relay/forwarder.cc
+++ b/src/relay/forwarder.cc
@@ -1,6 +1,6 @@
 #include "relay/forwarder.h"
 
-#include <cstdlib>
+#include <random>
 #include <utility>
 #include <variant>
 
@@ -24,7 +24,9 @@
 constexpr int kUnavailable = 503;
 
 Millis RetryAfter() {
-  return kRetryFloor + Millis(std::rand() % kRetrySpread.count());
+  static std::minstd_rand random{std::random_device()()};
+  std::uniform_int_distribution<int64_t> spread(0, kRetrySpread.count());
+  return kRetryFloor + Millis(spread(random));
 }
 
 }  // namespace
--- a/src/relay/plain_forward.cc
+++ b/src/relay/plain_forward.cc
@@ -90,8 +90,8 @@
   if (reply.head.end != SendEnd::kAnswered) {
     co_return reply;
   }
-  reply.body = co_await ReadShortBody(*reply.head.connection,
-                                      call->due() - services.clock.Now());
+  reply.body = co_await ReadShortBody(
+      *reply.head.connection, call->OperationTimeout(services.clock.Now()));
   if (reply.body.broken) {
     reply.head.end = call->EndOr(SendEnd::kBroken);
     reply.head.reason = "the answer broke off";
@@ -142,8 +142,8 @@
   result.status = reply.head.status;
   http::Connection& connection = *reply.connection;
   const bool is_head = call->exchange.request().method == "HEAD";
-  absl::StatusOr<std::string_view> piece =
-      co_await connection.ReadSome(call->due() - services.clock.Now());
+  absl::StatusOr<std::string_view> piece = co_await connection.ReadSome(
+      call->OperationTimeout(services.clock.Now()));
   if (piece.ok() && piece->empty() && !is_head) {
     http::Response whole = WholeForCaller(reply.head, std::move(first));
     (void)co_await call->exchange.Respond(std::move(whole));
@@ -157,7 +157,8 @@
   while (written.ok() && piece.ok() && !piece->empty()) {
     written = co_await call->exchange.Write(*piece);
     if (written.ok()) {
-      piece = co_await connection.ReadSome(call->due() - services.clock.Now());
+      piece = co_await connection.ReadSome(
+          call->OperationTimeout(services.clock.Now()));
     }
   }
   if (written.ok() && piece.ok()) {
--- a/src/relay/send_once.cc
+++ b/src/relay/send_once.cc
@@ -63,7 +63,7 @@
   send.id = call->entry.caller.id;
   send.connect_timeout =
       std::min(left, engine ? kEngineConnectTimeout : kServiceConnectTimeout);
-  send.answer_timeout = left;
+  send.answer_timeout = call->OperationTimeout(started);
   send.on_connection = [call](http::Connection* connection) {
     call->SetConnection(connection);
   };
--- a/src/relay/stream_forward.cc
+++ b/src/relay/stream_forward.cc
@@ -76,8 +76,8 @@
     }
     while (place) {
       request_.excluded.insert(place->upstream);
-      run_->place = *std::move(place);
-      place.reset();
+      run_->place = std::move(*place);
+      place = std::nullopt;
       const SendEnd end = co_await RunAtPlace();
       if (done_ || call_->ended()) {
         break;
@@ -199,8 +199,8 @@
     Millis last_at = sent_at;
     for (;;) {
       const absl::StatusOr<std::string_view> piece =
-          co_await reply.connection->ReadSome(call_->due() -
-                                              services_.clock.Now());
+          co_await reply.connection->ReadSome(
+              call_->OperationTimeout(services_.clock.Now()));
       if (!piece.ok()) {
         result_.reason = std::string(piece.status().message());
         services_.health.Note(run_->place.upstream, routing::Outcome::kBad,
--- a/test/decisions-test.cc
+++ b/test/decisions-test.cc
@@ -5,6 +5,7 @@
 #include "relay/attempt_rules.h"
 #include "relay/caller_gate.h"
 #include "relay/event_splitter.h"
+#include "relay/placer.h"
 #include "routing/load_exchange.h"
 #include "routing/load_ticket.h"
 #include "routing/placement.h"
@@ -136,6 +137,44 @@
   CHECK(other.Total(id) == routing::Load());
 }
 
+TEST_CASE("a cold upstream gets this daemon's part of what it bears",
+          "[placement]") {
+  Millis now(0);
+  fleet::UpstreamList upstreams(
+      {[](const fleet::Upstream&) {},
+       [](const fleet::Upstream&, std::string_view) {},
+       [](const UpstreamId&) {}});
+  fleet::UpstreamEntry entry;
+  entry.pool = base::PoolName("p");
+  entry.slots = 100;
+  entry.cold_left = Millis(5000);
+  upstreams.Set(UpstreamId("u-1"), entry, now);
+  routing::LoadBook loads;
+  routing::UpstreamHealth health(
+      {[](const UpstreamId&, Millis) {}, [](const UpstreamId&) {}});
+  relay::Placer placer(base::Clock([&now] { return now; }),
+                       base::DataCentreId("dc-a"), upstreams, loads, health,
+                       {[] { return size_t{4}; }});
+  relay::PlaceRequest request;
+  request.pool.name = entry.pool;
+  request.pool.cold_requests_per_second = 12;
+  const auto place_all = [&] {
+    std::vector<moving::Place> places;
+    while (auto place = placer.TryPlace(request)) {
+      places.push_back(std::move(*place));
+    }
+    return places.size();
+  };
+  CHECK(place_all() == 3);  // 12 a second for four daemons
+  now = Millis(500);
+  CHECK(place_all() == 0);
+  now = Millis(1100);
+  CHECK(place_all() == 3);
+  now = Millis(6000);
+  CHECK(placer.TryPlace(request));
+  CHECK(placer.TryPlace(request));
+}
+
 TEST_CASE("a service with free slots gets no more than its slots",
           "[placement]") {
   routing::Candidate service;
