Do not note news before they are passed on

Cause: read in review: what the reader had read was noted as news before it was passed on, so that peers which had skipped unimportant records saw a gap and pulled each time.

Change: PassOn notes its own records; only what a peer passed on is noted by the caller. relay::Entry is AdmittedRequest.

Ruled out: a loss of news; pulls made the gaps good.

--- a/src/kernel/fleet_daemon.cc
+++ b/src/kernel/fleet_daemon.cc
@@ -157,7 +157,7 @@
     base::Spawn(executor_, follower_.Follow(Topic::kOperator));
     base::Spawn(executor_, follower_.Follow(Topic::kUpstreams));
     base::Spawn(executor_, Announce());
-    base::Spawn(executor_, TickForGood());
+    base::Spawn(executor_, RunTicks());
     base::Spawn(executor_, AskEngines());
     return absl::OkStatus();
   }
@@ -205,7 +205,7 @@
     }
   }
 
-  Task<void> TickForGood() {
+  Task<void> RunTicks() {
     for (;;) {
       co_await base::Delay(kTick);
       const Millis now = clock_.Now();
@@ -323,11 +323,12 @@
                 Millis proven_at,
                 bool own_read) {
     std::vector<store::Record> news = knowledge_.Take(topic, update, proven_at);
-    for (const store::Record& record : news) {
-      mesh_.NoteNews(topic, record.offset);
-    }
     placer_.Pump();
-    if (own_read && !news.empty()) {
+    if (!own_read) {
+      for (const store::Record& record : news) {
+        mesh_.NoteNews(topic, record.offset);
+      }
+    } else if (!news.empty()) {
       store::Update passed = update;
       passed.records = std::move(news);
       mesh_.PassOn(topic, std::move(passed));
--- a/src/membership/mesh.h
+++ b/src/membership/mesh.h
@@ -68,7 +68,8 @@
   /// Passes on what this daemon has read in the store; records that change
   /// nothing may be left out of `update`.
   void PassOn(store::Topic topic, store::Update update);
-  /// A record of `topic` at `offset` matters: peers must have it.
+  /// A record that a peer passed on matters: others must have it too. What is
+  /// passed on by `PassOn` is noted there.
   void NoteNews(store::Topic topic, int64_t offset);
   void SetDraining() { draining_ = true; }
 
--- a/src/relay/caller_gate.cc
+++ b/src/relay/caller_gate.cc
@@ -28,9 +28,10 @@
 
 }  // namespace
 
-std::variant<Entry, Refusal> PassGate(const http::Request& request,
-                                      const absl::StatusOr<CallerRequest>& read,
-                                      const GateState& state) {
+std::variant<AdmittedRequest, Refusal> PassGate(
+    const http::Request& request,
+    const absl::StatusOr<CallerRequest>& read,
+    const GateState& state) {
   if (!state.catalogue) {
     return Refusal{kUnavailable, "no configuration yet",
                    kRetryWithoutCatalogue};
@@ -48,7 +49,7 @@
     }
     return Refusal{kNotFound, "no route", {}};
   }
-  Entry entry;
+  AdmittedRequest entry;
   entry.catalogue = state.catalogue;
   entry.route = *route;
   entry.priority = route->priority;
--- a/src/relay/caller_gate.h
+++ b/src/relay/caller_gate.h
@@ -22,7 +22,7 @@
 };
 
 /// A request that may go on.
-struct Entry {
+struct AdmittedRequest {
   fleet::CataloguePtr catalogue;
   fleet::Route route;
   base::OrganisationId organisation;
@@ -45,8 +45,9 @@
 /// Load pattern: keys taken away while daemons are cut off or suspended; a
 /// daemon that has no configuration yet never denies a route or a key; long
 /// drafts on kept connections to a daemon that stops, which would cut them.
-std::variant<Entry, Refusal> PassGate(const http::Request& request,
-                                      const absl::StatusOr<CallerRequest>& read,
-                                      const GateState& state);
+std::variant<AdmittedRequest, Refusal> PassGate(
+    const http::Request& request,
+    const absl::StatusOr<CallerRequest>& read,
+    const GateState& state);
 
 }  // namespace dandelion::relay
--- a/src/relay/forward_call.cc
+++ b/src/relay/forward_call.cc
@@ -10,7 +10,7 @@
 
 ForwardCall::ForwardCall(const base::Executor& executor,
                          http::Exchange& exchange,
-                         Entry entry,
+                         AdmittedRequest entry,
                          Millis arrived)
     : exchange(exchange),
       entry(std::move(entry)),
--- a/src/relay/forward_call.h
+++ b/src/relay/forward_call.h
@@ -16,7 +16,7 @@
  public:
   ForwardCall(const base::Executor& executor,
               http::Exchange& exchange,
-              Entry entry,
+              AdmittedRequest entry,
               base::Millis arrived);
 
   /// Starts to watch the caller and the time that is left. Both end the
@@ -37,7 +37,7 @@
   base::Millis OperationTimeout(base::Millis now) const;
 
   http::Exchange& exchange;
-  const Entry entry;
+  const AdmittedRequest entry;
   const base::Millis arrived;
   SendHistory history;
   /// Carries waits for an upstream.
--- a/src/relay/forwarder.cc
+++ b/src/relay/forwarder.cc
@@ -39,7 +39,7 @@
   const absl::StatusOr<CallerRequest> read =
       services_.dialect.read_request(exchange.request());
   const GateState state = services_.gate();
-  std::variant<Entry, Refusal> passed =
+  std::variant<AdmittedRequest, Refusal> passed =
       PassGate(exchange.request(), read, state);
   if (const Refusal* refusal = std::get_if<Refusal>(&passed)) {
     Emit(Event::kForwardRefused,
@@ -53,8 +53,8 @@
     co_return;
   }
   const auto call = std::make_shared<ForwardCall>(
-      services_.executor, exchange, std::get<Entry>(std::move(passed)),
-      arrived);
+      services_.executor, exchange,
+      std::get<AdmittedRequest>(std::move(passed)), arrived);
   call->Watch(arrived);
   co_await Forward(call);
   call->Finish();
--- a/test/decisions-test.cc
+++ b/test/decisions-test.cc
@@ -296,13 +296,13 @@
   std::optional<Millis> stops_in;
   int64_t expected_output = 0;
   http::Request request;
-  std::variant<relay::Entry, relay::Refusal> passed;
+  std::variant<relay::AdmittedRequest, relay::Refusal> passed;
 };
 
 TEST_CASE("a key is trusted only while it is known to be valid", "[gate]") {
   GateRig rig;
   CHECK(rig.StatusOf("key", Millis(100)) == 200);
-  const auto& entry = std::get<relay::Entry>(rig.passed);
+  const auto& entry = std::get<relay::AdmittedRequest>(rig.passed);
   CHECK(entry.organisation == base::OrganisationId("org"));
   CHECK(entry.priority == 1);
   CHECK(entry.time_left == Millis(400));
