--- a/test/knowledge-test.cc
+++ b/test/knowledge-test.cc
@@ -297,6 +297,23 @@
   CHECK(notices == 1);
 }
 
+TEST_CASE("a data centre that is out gets nothing until it is back",
+          "[upstreams]") {
+  fleet::UpstreamList list({[](const fleet::Upstream&) {},
+                            [](const fleet::Upstream&, std::string_view) {},
+                            [](const base::UpstreamId&) {}});
+  fleet::UpstreamEntry entry;
+  entry.data_centre = base::DataCentreId("dc-a");
+  list.Set(base::UpstreamId("u-1"), entry, Millis(0));
+  list.SetEvacuated(entry.data_centre, true);
+  CHECK(list.UsableOf(base::PoolName()).empty());
+  // An upstream that is listed meanwhile gets nothing either.
+  list.Set(base::UpstreamId("u-2"), entry, Millis(10));
+  CHECK(list.UsableOf(base::PoolName()).empty());
+  list.SetEvacuated(entry.data_centre, false);
+  CHECK(list.UsableOf(base::PoolName()).size() == 2);
+}
+
 TEST_CASE("an id that starts again is a new upstream", "[upstreams]") {
   int restarts = 0;
   fleet::UpstreamList list(
