Log which requests a drain cuts and what a stopping daemon takes

Cause: the logs gave only the number of requests that a drain cut, so the hypotheses on lost requests could not be told apart.

Change: 107 names each request that is cut, its age, its sends and whether its answer had begun. 514 names each request that a stopping daemon takes, with the estimate and the time left. 513 says how long a request waited before its send. 108 counts connections closed while a request arrives. No decision changes.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -172,6 +172,8 @@
   }
 
   bool busy() const { return busy_; }
+  /// Whether the next request has begun to arrive.
+  bool receiving() const { return receiving_; }
   void CloseNow() { stream_.close(); }
 
  private:
@@ -211,6 +213,8 @@
         co_return false;
       }
     }
+    receiving_ = true;
+    const absl::Cleanup received = [this] { receiving_ = false; };
     SetTimeout(limits_.header_timeout);
     auto [error, size] =
         co_await bhttp::async_read_header(stream_, buffer, parser, kNoThrow);
@@ -269,6 +273,7 @@
   bool keep_alive_ = true;
   bool response_started_ = false;
   bool busy_ = false;
+  bool receiving_ = false;
   bool broken_ = false;
   bool unresponsive_ = false;
   bool chunked_ = false;
@@ -334,6 +339,7 @@
   void CloseIdle() {
     for (Session* session : sessions_) {
       if (!session->busy()) {
+        dropped_requests_ += session->receiving() ? 1 : 0;
         session->CloseNow();
       }
     }
@@ -354,6 +360,7 @@
   }
 
   size_t connections() const { return sessions_.size(); }
+  size_t dropped_requests() const { return dropped_requests_; }
   unsigned short port() const { return port_; }
   void DisableKeepAlive() { close_after_response_ = true; }
   void SetLimits(const ServerLimits& limits) { limits_ = limits; }
@@ -430,6 +437,7 @@
   std::set<Session*> sessions_;
   std::map<asio::ip::address, size_t> sessions_per_address_;
   unsigned short port_ = 0;
+  size_t dropped_requests_ = 0;
   bool close_after_response_ = false;
 };
 
@@ -475,6 +483,9 @@
 size_t Server::connections() const {
   return impl_->connections();
 }
+size_t Server::dropped_requests() const {
+  return impl_->dropped_requests();
+}
 
 bool ParseEndpoint(std::string_view text, tcp::endpoint* endpoint) {
   const size_t colon = text.rfind(':');
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -97,6 +97,9 @@
   size_t in_flight() const;
   /// Number of open connections.
   size_t connections() const;
+  /// Number of connections that were closed as idle although part of a request
+  /// had been read from them.
+  size_t dropped_requests() const;
 
  private:
   class Impl;
--- a/src/kernel/fleet_daemon.cc
+++ b/src/kernel/fleet_daemon.cc
@@ -138,6 +138,11 @@
         break;
       }
     }
+    forwarder_.LogUnfinished();
+    if (caller_server_.dropped_requests() > 0) {
+      Emit(Event::kConnectionsDropped,
+           {{"count", absl::StrCat(caller_server_.dropped_requests())}});
+    }
     Emit(caller_server_.in_flight() == 0 ? Event::kDrainFinished
                                          : Event::kDrainTimedOut,
          {{"cut", absl::StrCat(caller_server_.in_flight())}});
--- a/src/relay/forward_call.h
+++ b/src/relay/forward_call.h
@@ -46,6 +46,8 @@
   const AdmittedRequest admitted;
   const base::Millis arrived;
   SendHistory history;
+  /// Whether the head of the final answer was sent to the caller.
+  bool answer_started = false;
   /// Whether it is a short generation or one with the highest priority.
   bool is_urgent = false;
   /// Cancelled to end a wait for a place.
--- a/src/relay/forwarder.cc
+++ b/src/relay/forwarder.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <variant>
 
+#include "absl/cleanup/cleanup.h"
 #include "absl/strings/str_cat.h"
 #include "relay/send_once.h"
 #include "relay/stream_forward.h"
@@ -63,11 +64,38 @@
   const auto call = std::make_shared<ForwardCall>(
       services_.executor, exchange,
       std::get<AdmittedRequest>(std::move(admission)), arrived);
+  if (state.stops_in) {
+    Emit(Event::kForwardTakenWhileStopping,
+         {{"request", call->admitted.caller.id.value()},
+          {"route", call->admitted.route.name.value()},
+          {"stops_in_ms", absl::StrCat(state.stops_in->count())},
+          {"needs_ms", absl::StrCat(call->admitted.time_needed.count())},
+          {"limit_ms", absl::StrCat(call->admitted.time_left.count())},
+          {"output_limit",
+           absl::StrCat(call->admitted.caller.max_output_tokens)},
+          {"output_expected",
+           absl::StrCat(
+               call->admitted.caller.expected_output_tokens.value_or(0))}});
+  }
+  calls_.insert(call.get());
+  const absl::Cleanup remove_call = [this, &call] { calls_.erase(call.get()); };
   call->Watch(arrived);
   co_await Forward(call);
   call->Finish();
 }
 
+void Forwarder::LogUnfinished() const {
+  const Millis now = services_.clock.Now();
+  for (const ForwardCall* call : calls_) {
+    Emit(Event::kRequestCut,
+         {{"request", call->admitted.caller.id.value()},
+          {"route", call->admitted.route.name.value()},
+          {"age_ms", absl::StrCat((now - call->arrived).count())},
+          {"sent", absl::StrCat(call->history.sent)},
+          {"answering", call->answer_started ? "1" : "0"}});
+  }
+}
+
 Task<void> Forwarder::Forward(ForwardCallPtr call) {
   const fleet::Pool* pool = SelectPool(*call);
   if (!pool) {
--- a/src/relay/forwarder.h
+++ b/src/relay/forwarder.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "base/clock.h"
@@ -44,6 +45,9 @@
   /// Admits and forwards one request. Returns when the caller has its final
   /// answer or the exchange was aborted.
   base::Task<void> Handle(http::Exchange& exchange);
+  /// Logs each request that is in progress, because the daemon ends without
+  /// finishing it.
+  void LogUnfinished() const;
 
  private:
   /// Answers a request that was rejected or failed.
@@ -53,6 +57,8 @@
   base::Task<void> RespondWithFailure(ForwardCallPtr call, ForwardResult end);
 
   ForwardServices services_;
+  /// The calls in progress.
+  std::set<const ForwardCall*> calls_;
 };
 
 }  // namespace dandelion::relay
--- a/src/relay/plain_forward.cc
+++ b/src/relay/plain_forward.cc
@@ -157,10 +157,12 @@
   if (piece.ok() && piece->empty() && !is_head_request) {
     http::Response complete =
         MakeCompleteResponse(reply.head, std::move(first));
+    call->answer_started = true;
     (void)co_await call->exchange.Respond(std::move(complete));
     co_return result;
   }
   http::Response head = MakeStreamHead(reply.head);
+  call->answer_started = true;
   absl::Status written = co_await call->exchange.StartStream(std::move(head));
   if (written.ok() && !first.empty()) {
     written = co_await call->exchange.Write(first);
--- a/src/relay/request_admission.cc
+++ b/src/relay/request_admission.cc
@@ -70,7 +70,8 @@
     admitted.organisation = owner->second.name;
     admitted.priority = owner->second.priority.value_or(route->priority);
   }
-  if (state.stops_in && TimeNeeded(*route, *parsed) > *state.stops_in) {
+  admitted.time_needed = TimeNeeded(*route, *parsed);
+  if (state.stops_in && admitted.time_needed > *state.stops_in) {
     return Rejection{kUnavailable, "this daemon is stopping",
                      kRetryAtOtherDaemon};
   }
--- a/src/relay/request_admission.h
+++ b/src/relay/request_admission.h
@@ -33,6 +33,8 @@
   int priority = 0;
   /// Time from arrival until the final answer is due.
   base::Millis time_left{0};
+  /// Time that the request was estimated to need.
+  base::Millis time_needed{0};
   CallerRequest caller;
 };
 
--- a/src/relay/send_once.cc
+++ b/src/relay/send_once.cc
@@ -93,6 +93,7 @@
         {"end", std::string(ToString(reply.end))},
         {"status", absl::StrCat(reply.head.status)},
         {"reason", reply.reason},
+        {"waited_ms", absl::StrCat((started - call->arrived).count())},
         {"took_ms", absl::StrCat((now - started).count())}});
   co_return reply;
 }
--- a/src/relay/stream_forward.cc
+++ b/src/relay/stream_forward.cc
@@ -291,6 +291,7 @@
 
   Task<absl::Status> StartAnswer(UpstreamReply& reply) {
     started_ = true;
+    call_->answer_started = true;
     result_.status = reply.head.status;
     http::Response head;
     head.status = reply.head.status;
