Test that a stop loses nothing that the daemon has taken (failing)

What callers see: a generation that a stopping daemon takes is cut midway; a request that still waits, or that its upstream has not answered, ends with the process and gets no answer; a connection whose first request is on its way is reset.

Three tests, all failing on this code, with the real process where it matters: the late generation gets 200 and is cut where 503 is expected; of two plain requests, one sent and one waiting for the only slot, neither gets an answer; CloseIdle resets a connection on which nothing, or half of a request, has arrived.

--- a/test/forward-test.cc
+++ b/test/forward-test.cc
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
 #include "test/forward-support.h"
@@ -507,5 +508,53 @@
   CHECK(first.seen().size() + second.seen().size() == 1);
 }
 
+TEST_CASE("closing idle connections spares those whose request has not ended",
+          "[forward]") {
+  boost::asio::io_context context;
+  http::Server server(context.get_executor(), http::ServerLimits(),
+                      RespondWithAnswer);
+  const boost::asio::ip::tcp::endpoint loopback(
+      boost::asio::ip::address_v4::loopback(), 0);
+  REQUIRE(server.BindAndAccept(loopback).ok());
+  boost::asio::ip::tcp::socket caller(context);
+  caller.connect({loopback.address(), server.port()});
+  while (server.connections() == 0) {
+    context.run_one();
+  }
+  const auto run_ready_tasks = [&context] {
+    while (context.poll() > 0) {
+    }
+  };
+  const std::string request = "GET /1 HTTP/1.1\r\nHost: front.example\r\n\r\n";
+  // Nothing of the first request has arrived yet, or its first half.
+  const size_t arrived = GENERATE(size_t{0}, size_t{20});
+  boost::asio::write(caller, boost::asio::buffer(request, arrived));
+  run_ready_tasks();
+  server.CloseIdle();
+  boost::system::error_code error;
+  boost::asio::write(caller, boost::asio::buffer(request.substr(arrived)),
+                     error);
+  std::string received;
+  bool done = false;
+  boost::asio::async_read_until(
+      caller, boost::asio::dynamic_buffer(received), "answer",
+      [&](boost::system::error_code read_error, size_t) {
+        error = read_error;
+        done = true;
+      });
+  while (!done) {
+    context.run_one();
+  }
+  run_ready_tasks();
+  CHECK_FALSE(error);
+  CHECK(received.starts_with("HTTP/1.1 200"));
+  // Between two requests the connection is idle.
+  server.CloseIdle();
+  run_ready_tasks();
+  CHECK(server.connections() == 0);
+  server.StopAccepting();
+  run_ready_tasks();
+}
+
 }  // namespace
 }  // namespace dandelion::test
--- a/test/platform-stop-test.cc
+++ b/test/platform-stop-test.cc
@@ -73,16 +73,22 @@
   std::optional<int> exit_code_;
 };
 
-/// A store and an engine whose streams never end, in the test's process.
+/// A store, an engine whose streams never end and a service with one slot that
+/// never answers, in the test's process.
 struct StopFixture {
   StopFixture()
       : store(context.get_executor()),
-        engine(context.get_executor(), SendEventThenStall) {
+        engine(context.get_executor(), SendEventThenStall),
+        service(context.get_executor(), Stall) {
     store.AppendRecord("config", MakeConfig().dump(), "keyed.op");
-    store.AppendRecord("u-1", MakeUpstreamEntry().dump(), "keyed.servers");
+    store.AppendRecord("u-1", MakeUpstreamEntry("engines", engine, 100).dump(),
+                       "keyed.servers");
+    store.AppendRecord("u-2", MakeUpstreamEntry("services", service, 1).dump(),
+                       "keyed.servers");
   }
   ~StopFixture() {
     engine.CloseAll();
+    service.CloseAll();
     context.restart();
     context.run_for(std::chrono::milliseconds(50));
   }
@@ -97,28 +103,44 @@
     exchange.HoldOpen();
   }
 
+  /// Keeps the request open without answering it.
+  static Task<void> Stall(http::Exchange& exchange) {
+    exchange.HoldOpen();
+    co_return;
+  }
+
+  static json MakeRoute(const std::string& name,
+                        const std::string& kind,
+                        const std::string& pool) {
+    return {{"name", name},
+            {"host", "front.example"},
+            {"path-prefix", "/" + name + "/"},
+            {"kind", kind},
+            {"timeout-ms", 60'000},
+            {"goal-ms", 30'000},
+            {"max-attempts", 1},
+            {"backend", pool}};
+  }
+
   static json MakeConfig() {
     return {{"version", 1},
             {"routes",
-             {{{"name", "draft"},
-               {"host", "front.example"},
-               {"path-prefix", "/draft/"},
-               {"kind", "stream"},
-               {"timeout-ms", 60'000},
-               {"goal-ms", 1500},
-               {"max-attempts", 1},
-               {"backend", "engines"}}}},
+             {MakeRoute("draft", "stream", "engines"),
+              MakeRoute("write", "non_idempotent", "services")}},
             {"backends",
              {{{"name", "engines"},
-               {"engine", {{"slots", 100}, {"kv-cap-tokens", 1'000'000}}}}}}};
+               {"engine", {{"slots", 100}, {"kv-cap-tokens", 1'000'000}}}},
+              {{"name", "services"}}}}};
   }
 
-  json MakeUpstreamEntry() const {
-    return {{"backend", "engines"},
+  static json MakeUpstreamEntry(const std::string& pool,
+                                const FakeUpstream& upstream,
+                                int slots) {
+    return {{"backend", pool},
             {"addr", std::string(kLoopback) + ":" +
-                         std::to_string(engine.address().port())},
+                         std::to_string(upstream.address().port())},
             {"zone", "dc-a"},
-            {"slots", 100},
+            {"slots", slots},
             {"state", "ready"},
             {"cold-left-ms", 0},
             {"seq", 1},
@@ -167,24 +189,30 @@
   boost::asio::io_context context;
   FakeStore store;
   FakeUpstream engine;
+  FakeUpstream service;
 };
 
-/// A caller that requests one stream and collects the response.
+/// A caller that sends one request and collects the response.
 struct Caller {
   explicit Caller(boost::asio::io_context& context) : socket(context) {}
 
-  /// Returns false if the daemon does not accept the connection.
-  bool SendRequest(const tcp::endpoint& daemon, int number) {
+  /// Returns false if the daemon does not accept the connection. `headers` are
+  /// lines that each end with CRLF.
+  bool SendRequest(const tcp::endpoint& daemon,
+                   int number,
+                   const std::string& route = "draft",
+                   const std::string& headers = "") {
     boost::system::error_code error;
     socket.connect(daemon, error);
     if (error) {
       socket.close();
       return false;
     }
-    const std::string request =
-        "GET /draft/1 HTTP/1.1\r\nHost: front.example\r\n"
-        "X-Dandeliondyke-Request-Id: r-" +
-        std::to_string(number) + "\r\n\r\n";
+    const std::string request = "GET /" + route +
+                                "/1 HTTP/1.1\r\nHost: front.example\r\n"
+                                "X-Dandeliondyke-Request-Id: r-" +
+                                std::to_string(number) + "\r\n" + headers +
+                                "\r\n";
     boost::asio::write(socket, boost::asio::buffer(request));
     ReadMore();
     return true;
@@ -203,12 +231,116 @@
   bool HasReceivedEvent() const {
     return received.find("data: x") != std::string::npos;
   }
+  /// 0 unless a response has begun.
+  int Status() const {
+    constexpr size_t kStatusAt = std::string_view("HTTP/1.1 ").size();
+    constexpr size_t kStatusDigits = 3;
+    return received.size() < kStatusAt + kStatusDigits
+               ? 0
+               : std::stoi(received.substr(kStatusAt, kStatusDigits));
+  }
 
   tcp::socket socket;
   std::array<char, 4096> chunk{};
   std::string received;
 };
 
+/// A daemon with the fixture's store, from its start to its end.
+struct RunningDaemon {
+  explicit RunningDaemon(StopFixture& fixture) : fixture(fixture) {
+    const json settings = fixture.MakeSettings();
+    std::ofstream(path) << settings.dump();
+    if (!http::ParseEndpoint(settings["callers"].get<std::string>(),
+                             &address)) {
+      throw std::runtime_error("the settings have no callers' address");
+    }
+    process.emplace(path, LogPath());
+  }
+  ~RunningDaemon() {
+    process.reset();
+    std::remove(path.c_str());
+    std::remove(LogPath().c_str());
+  }
+  RunningDaemon(const RunningDaemon&) = delete;
+  RunningDaemon& operator=(const RunningDaemon&) = delete;
+
+  std::string LogPath() const { return path + ".log"; }
+
+  bool HasLogged(const std::string& event) const {
+    std::ifstream log(LogPath());
+    const std::string text(std::istreambuf_iterator<char>(log), {});
+    return text.find("name=" + event) != std::string::npos;
+  }
+
+  /// Returns a caller whose request to `route` has reached an upstream.
+  /// Repeats requests that are rejected, as the daemon does until it has read
+  /// the configuration and the upstreams.
+  std::unique_ptr<Caller> SendUntilTaken(const std::string& route,
+                                         const FakeUpstream& upstream) {
+    std::unique_ptr<Caller> caller;
+    const size_t seen = upstream.seen().size();
+    const bool taken = fixture.RunUntil([&] {
+      if (!caller || caller->Status() == kRejected) {
+        caller = std::make_unique<Caller>(fixture.context);
+        if (!caller->SendRequest(address, 1, route)) {
+          caller.reset();
+        }
+      }
+      return upstream.seen().size() > seen;
+    });
+    if (!taken) {
+      throw std::runtime_error("no request reached an upstream");
+    }
+    return caller;
+  }
+
+  /// Sends SIGTERM and waits until the daemon has begun to stop.
+  bool BeginStop() {
+    process->SendSignal(SIGTERM);
+    return fixture.RunUntil([this] { return HasLogged("drain_started"); });
+  }
+  bool WaitForExit() {
+    return fixture.RunUntil([this] { return process->ExitCode().has_value(); });
+  }
+
+  static constexpr int kRejected = 503;
+
+  StopFixture& fixture;
+  std::string path = std::tmpnam(nullptr);
+  tcp::endpoint address;
+  std::optional<DaemonProcess> process;
+};
+
+TEST_CASE("a generation that a stopping daemon takes is not cut at its end",
+          "[stop]") {
+  StopFixture fixture;
+  RunningDaemon daemon(fixture);
+  const auto earlier = daemon.SendUntilTaken("draft", fixture.engine);
+  REQUIRE(daemon.BeginStop());
+  // The caller expects ten tokens but allows for more than fit into the stop.
+  Caller late(fixture.context);
+  REQUIRE(late.SendRequest(daemon.address, 2, "draft",
+                           "X-Dandeliondyke-Token-Count: 10,4000\r\n"
+                           "X-Dandeliondyke-Length-Hint: 10\r\n"));
+  CHECK(daemon.WaitForExit());
+  CHECK(late.Status() == RunningDaemon::kRejected);
+}
+
+TEST_CASE("a request that is unanswered when the drain ends gets an answer",
+          "[stop]") {
+  StopFixture fixture;
+  RunningDaemon daemon(fixture);
+  const auto sent = daemon.SendUntilTaken("write", fixture.service);
+  Caller waiting(fixture.context);
+  REQUIRE(waiting.SendRequest(daemon.address, 2, "write"));
+  REQUIRE(daemon.BeginStop());
+  CHECK(daemon.WaitForExit());
+  CHECK(fixture.service.seen().size() == 1);
+  constexpr int kOutcomeUnknown = 502;
+  CHECK(sent->Status() == kOutcomeUnknown);
+  CHECK(waiting.Status() == RunningDaemon::kRejected);
+}
+
 // Guards against a daemon that crashes or hangs when it stops with streams
 // still open, which happens if services are destroyed before the tasks that use
 // them.
