Let a stopping daemon take and send only what must end in time

Callers saw: a generation that a daemon took up to 6.6 s after SIGTERM was cut midway when the drain ended.

Cause: a generation was accepted if its estimated duration fitted into the rest of the stop. The estimate is the caller's guess of the output on an engine of typical speed; guesses of 45 tokens came with limits of 2216. A request that waited for an upstream was not asked again before its send.

Change: the output's limit on a slow engine, or the time until the final answer is due, decides at admission (AdmittedRequest::longest), and again after each wait and before each retry (WaitForSend, MaySend). A drain ends the waits of requests that may no longer be sent; their callers get 503 and can try another daemon at once. The estimate still rejects as before.

Ruled out: rejecting everything from SIGTERM on.

Evidence: the new tests fail without each check: a limit of 2000 tokens taken with 7 s left; a request that waited into a stop sent to its upstream.

--- a/src/kernel/fleet_daemon.cc
+++ b/src/kernel/fleet_daemon.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "admission/stop_deadline.h"
 #include "fleet/fleet_state.h"
 #include "http/server.h"
 #include "kernel/registry.h"
@@ -45,6 +46,9 @@
 // The drain ends this long before the end of `stop_grace`, when the process is
 // killed.
 constexpr Millis kDrainEndMargin{500};
+// Accepted requests must be answered this long before the drain ends, so that
+// those that are late can still be given a final answer.
+constexpr Millis kFinalAnswerTime{200};
 constexpr Millis kDrainCheckInterval{20};
 
 }  // namespace
@@ -77,7 +81,7 @@
         migrator_(executor, clock_, adapter_.engines, MigratorHooks()),
         retry_budget_(RetryBounds()),
         forwarder_({executor, clock_, adapter_.protocol, placer_, migrator_,
-                    adapter_.engines, health_, retry_budget_, metrics_,
+                    adapter_.engines, health_, retry_budget_, metrics_, stop_,
                     [this] { return mesh_.DaemonCount(); },
                     [this] { return MakeAdmissionState(); }}),
         caller_server_(executor,
@@ -121,14 +125,16 @@
 
   Task<void> Drain() {
     const Millis drain_started_at = clock_.Now();
-    drain_deadline_ = drain_started_at + settings_.stop_grace - kDrainEndMargin;
-    draining_ = true;
+    const Millis drain_deadline =
+        drain_started_at + settings_.stop_grace - kDrainEndMargin;
+    stop_.Set(drain_deadline - kFinalAnswerTime);
     mesh_.SetDraining();
     caller_server_.DisableKeepAlive();
     Emit(Event::kDrainStarted,
          {{"in_flight", absl::StrCat(caller_server_.in_flight())}});
-    while (clock_.Now() < drain_deadline_) {
+    while (clock_.Now() < drain_deadline) {
       co_await base::SleepFor(kDrainCheckInterval);
+      forwarder_.RejectUnsendable();
       if (clock_.Now() - drain_started_at < kMinDrainTime) {
         continue;
       }
@@ -292,7 +298,7 @@
   }
 
   bool IsReady() const {
-    return !draining_ && fleet_state_.catalogue() &&
+    return !stop_.is_set() && fleet_state_.catalogue() &&
            fleet_state_.VerificationAgeOf(Topic::kOperator) <
                kMaxReadyConfigAge &&
            !upstreams_.listed_upstreams().empty();
@@ -337,9 +343,7 @@
     state.catalogue_age = fleet_state_.VerificationAgeOf(Topic::kOperator);
     state.max_key_age =
         settings_.strict_keys ? settings_.strict_max_key_age : kUnlimited;
-    if (draining_) {
-      state.stops_in = drain_deadline_ - clock_.Now();
-    }
+    state.stops_in = stop_.TimeLeft(clock_.Now());
     return state;
   }
 
@@ -510,12 +514,11 @@
   relay::Placer placer_;
   migration::Migrator migrator_;
   relay::PoolRetryBudget retry_budget_;
+  admission::StopDeadline stop_;
   relay::Forwarder forwarder_;
   http::Server caller_server_;
   http::Server readiness_server_;
   http::Server metrics_server_;
-  bool draining_ = false;
-  Millis drain_deadline_;
   bool reported_ready_ = false;
   bool reported_reading_ = false;
   bool store_silent_ = true;
--- a/src/relay/attempt_rules.cc
+++ b/src/relay/attempt_rules.cc
@@ -32,6 +32,8 @@
       return "timed_out";
     case SendOutcome::kCallerGone:
       return "caller_gone";
+    case SendOutcome::kStopping:
+      return "stopping";
   }
   return "broken";
 }
@@ -49,6 +51,7 @@
     case SendOutcome::kBroken:
     case SendOutcome::kTimedOut:
     case SendOutcome::kCallerGone:
+    case SendOutcome::kStopping:
       ++sent;
       may_have_run = true;
       break;
--- a/src/relay/attempt_rules.h
+++ b/src/relay/attempt_rules.h
@@ -27,6 +27,8 @@
   kTimedOut,
   /// The caller disconnected.
   kCallerGone,
+  /// The daemon stops before the request could end.
+  kStopping,
 };
 
 /// Returns the name that is written to the log.
--- a/src/relay/forward_call.h
+++ b/src/relay/forward_call.h
@@ -27,6 +27,9 @@
   /// Ends the call: disconnects and the deadline no longer have any effect.
   void Finish();
 
+  /// Ends a wait for a place; does nothing at any other time.
+  void EndWait() { wake.cancel(); }
+
   /// Sets the connection to the upstream; null for none. It is closed at once
   /// if the call was already ended from outside.
   void SetConnection(http::Connection* connection);
--- a/src/relay/forwarder.cc
+++ b/src/relay/forwarder.cc
@@ -69,7 +69,7 @@
          {{"request", call->admitted.caller.id.value()},
           {"route", call->admitted.route.name.value()},
           {"stops_in_ms", absl::StrCat(state.stops_in->count())},
-          {"needs_ms", absl::StrCat(call->admitted.time_needed.count())},
+          {"longest_ms", absl::StrCat(call->admitted.longest.count())},
           {"limit_ms", absl::StrCat(call->admitted.time_left.count())},
           {"output_limit",
            absl::StrCat(call->admitted.caller.max_output_tokens)},
@@ -84,6 +84,16 @@
   call->Finish();
 }
 
+void Forwarder::RejectUnsendable() {
+  const Millis now = services_.clock.Now();
+  for (ForwardCall* call : calls_) {
+    if (!call->answer_started &&
+        !services_.stop.Allows(call->admitted.longest, now)) {
+      call->EndWait();
+    }
+  }
+}
+
 void Forwarder::LogUnfinished() const {
   const Millis now = services_.clock.Now();
   for (const ForwardCall* call : calls_) {
@@ -140,7 +150,9 @@
   rejection.status = FinalStatus(call->history, end.end);
   rejection.reason = std::move(end.reason);
   if (rejection.status == kUnavailable) {
-    rejection.retry_after = RetryAfter(end.capacity_in);
+    rejection.retry_after = end.end == SendOutcome::kStopping
+                                ? kRetryAtOtherDaemon
+                                : RetryAfter(end.capacity_in);
   }
   Emit(Event::kRequestFailed,
        {{"request", call->admitted.caller.id.value()},
--- a/src/relay/forwarder.h
+++ b/src/relay/forwarder.h
@@ -5,6 +5,7 @@
 #include <set>
 #include <string>
 
+#include "admission/stop_deadline.h"
 #include "base/clock.h"
 #include "base/task.h"
 #include "http/server.h"
@@ -30,6 +31,7 @@
   routing::UpstreamHealth& health;
   PoolRetryBudget& retry_budget;
   telemetry::Metrics& metrics;
+  const admission::StopDeadline& stop;
   /// Number of daemons that share the fleet's limits.
   std::function<size_t()> daemons;
   /// Returns the current state by which requests are admitted.
@@ -45,6 +47,9 @@
   /// Admits and forwards one request. Returns when the caller has its final
   /// answer or the exchange was aborted.
   base::Task<void> Handle(http::Exchange& exchange);
+  /// Ends the wait of each request that may no longer be sent before the daemon
+  /// stops, so that its caller can try another daemon.
+  void RejectUnsendable();
   /// Logs each request that is in progress, because the daemon ends without
   /// finishing it.
   void LogUnfinished() const;
@@ -58,7 +63,7 @@
 
   ForwardServices services_;
   /// The calls in progress.
-  std::set<const ForwardCall*> calls_;
+  std::set<ForwardCall*> calls_;
 };
 
 }  // namespace dandelion::relay
--- a/src/relay/generation_size.cc
+++ b/src/relay/generation_size.cc
@@ -14,6 +14,19 @@
 constexpr double kTypicalTokenMs = 8;
 constexpr double kTypicalReadMs = 0.1;
 
+// The same on an engine that is slow and crowded.
+constexpr double kSlowTokenMs = 50;
+constexpr double kSlowReadMs = 0.4;
+
+base::Millis DurationOf(int64_t output_tokens,
+                        int64_t prompt_tokens,
+                        double token_ms,
+                        double read_ms) {
+  return base::Millis(
+      static_cast<int64_t>(static_cast<double>(output_tokens) * token_ms +
+                           static_cast<double>(prompt_tokens) * read_ms));
+}
+
 }  // namespace
 
 routing::GenerationSize EstimateSize(const CallerRequest& caller) {
@@ -29,9 +42,16 @@
 }
 
 base::Millis EstimateDuration(const routing::GenerationSize& size) {
-  return base::Millis(static_cast<int64_t>(
-      static_cast<double>(size.output_tokens) * kTypicalTokenMs +
-      static_cast<double>(size.prompt_tokens) * kTypicalReadMs));
+  return DurationOf(size.output_tokens, size.prompt_tokens, kTypicalTokenMs,
+                    kTypicalReadMs);
+}
+
+std::optional<base::Millis> LongestDuration(const CallerRequest& caller) {
+  if (caller.max_output_tokens <= 0) {
+    return std::nullopt;
+  }
+  return DurationOf(caller.max_output_tokens, caller.prompt_tokens,
+                    kSlowTokenMs, kSlowReadMs);
 }
 
 }  // namespace dandelion::relay
--- a/src/relay/generation_size.h
+++ b/src/relay/generation_size.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <optional>
+
 #include "base/clock.h"
 #include "relay/platform_protocol.h"
 #include "routing/upstream_choice.h"
@@ -14,4 +16,8 @@
 /// speed.
 base::Millis EstimateDuration(const routing::GenerationSize& size);
 
+/// Returns how long a generation takes on a slow and crowded engine if its
+/// output is as long as the caller allows. Empty if the caller set no limit.
+std::optional<base::Millis> LongestDuration(const CallerRequest& caller);
+
 }  // namespace dandelion::relay
--- a/src/relay/place_wait.h
+++ b/src/relay/place_wait.h
@@ -14,6 +14,8 @@
   std::optional<migration::Place> place;
   /// Predicted time until an upstream has capacity, if known.
   std::optional<base::Millis> capacity_in;
+  /// The request may no longer be sent, because the daemon stops.
+  bool stopping = false;
 };
 
 /// Requests a place and waits for it until `request.wait_until`. Cancelling
--- a/src/relay/plain_forward.cc
+++ b/src/relay/plain_forward.cc
@@ -2,7 +2,6 @@
 
 #include <utility>
 
-#include "relay/place_wait.h"
 #include "relay/send_once.h"
 
 namespace dandelion::relay {
@@ -110,12 +109,13 @@
                                  ForwardCallPtr call,
                                  fleet::Pool pool) {
   PlaceRequest request = MakePlaceRequest(services, *call, pool);
-  WaitResult wait = co_await WaitForPlace(services.placer, services.clock,
-                                          request, call->wake);
+  WaitResult wait = co_await WaitForSend(services, call, request);
   std::optional<migration::Place> place = std::move(wait.place);
   ForwardResult result;
-  result.end = call->EndReasonOr(SendOutcome::kNotSent);
-  result.reason = "no upstream has a free slot";
+  result.end = call->EndReasonOr(wait.stopping ? SendOutcome::kStopping
+                                               : SendOutcome::kNotSent);
+  result.reason = wait.stopping ? std::string(kStoppingReason)
+                                : "no upstream has a free slot";
   result.capacity_in = wait.capacity_in;
   while (place) {
     BufferedReply reply = co_await SendAndReadBody(services, call, *place);
@@ -128,8 +128,7 @@
       place = PlaceRetry(services, *call, request, reply.head.end);
     } else if (reply.head.end != SendOutcome::kAnswered &&
                TryRetry(services, *call, pool, reply.head.end)) {
-      wait = co_await WaitForPlace(services.placer, services.clock, request,
-                                   call->wake);
+      wait = co_await WaitForSend(services, call, request);
       place = std::move(wait.place);
     }
     if (!place && reply.head.end == SendOutcome::kAnswered) {
--- a/src/relay/request_admission.cc
+++ b/src/relay/request_admission.cc
@@ -11,21 +11,30 @@
 using base::Millis;
 
 constexpr Millis kRetryWithoutCatalogue{500};
-// Time that a plain request is assumed to need. A stopping daemon that has less
-// left rejects the request.
+// Least time that a plain request is given to be answered.
 constexpr Millis kPlainRequestTime{700};
-// Short, because other daemons accept the request at once.
-constexpr Millis kRetryAtOtherDaemon{20};
+// A plain request is answered within this many times its answer target, even if
+// its upstream is slow.
+constexpr int64_t kSlowAnswerInTargets = 5;
 constexpr int kBadRequest = 400;
 constexpr int kUnauthorised = 401;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 
-Millis TimeNeeded(const fleet::Route& route, const CallerRequest& caller) {
-  return route.kind == fleet::RequestKind::kGeneration
-             ? std::max(kPlainRequestTime,
-                        EstimateDuration(EstimateSize(caller)))
-             : kPlainRequestTime;
+// Returns the longest time that a request may take once it is sent. The final
+// answer is due after `time_left`, however long the request still runs.
+Millis LongestTime(const fleet::Route& route,
+                   const CallerRequest& caller,
+                   Millis time_left) {
+  if (route.kind != fleet::RequestKind::kGeneration) {
+    return std::max(
+        kPlainRequestTime,
+        std::min(time_left, route.answer_target * kSlowAnswerInTargets));
+  }
+  const Millis longest =
+      std::min(time_left, LongestDuration(caller).value_or(time_left));
+  return std::max(
+      {kPlainRequestTime, longest, EstimateDuration(EstimateSize(caller))});
 }
 
 }  // namespace
@@ -70,13 +79,13 @@
     admitted.organisation = owner->second.name;
     admitted.priority = owner->second.priority.value_or(route->priority);
   }
-  admitted.time_needed = TimeNeeded(*route, *parsed);
-  if (state.stops_in && admitted.time_needed > *state.stops_in) {
-    return Rejection{kUnavailable, "this daemon is stopping",
-                     kRetryAtOtherDaemon};
-  }
   admitted.time_left =
       std::min(route->timeout, parsed->deadline.value_or(route->timeout));
+  admitted.longest = LongestTime(*route, *parsed, admitted.time_left);
+  if (state.stops_in && admitted.longest > *state.stops_in) {
+    return Rejection{kUnavailable, std::string(kStoppingReason),
+                     kRetryAtOtherDaemon};
+  }
   return admitted;
 }
 
--- a/src/relay/request_admission.h
+++ b/src/relay/request_admission.h
@@ -2,6 +2,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 
 #include "fleet/catalogue.h"
@@ -9,6 +10,12 @@
 
 namespace dandelion::relay {
 
+/// Time after which the caller of a stopping daemon should retry. Short,
+/// because other daemons accept the request at once.
+inline constexpr base::Millis kRetryAtOtherDaemon{20};
+/// Reason of a rejection by a stopping daemon.
+inline constexpr std::string_view kStoppingReason = "this daemon is stopping";
+
 /// State of the daemon by which requests are admitted.
 struct AdmissionState {
   /// Null until a configuration was received.
@@ -18,8 +25,8 @@
   /// Keys are accepted, and unknown routes denied, only while `catalogue_age`
   /// is less than this.
   base::Millis max_key_age{0};
-  /// Time until a stopping daemon aborts running requests; unset unless it is
-  /// stopping.
+  /// Time by which a stopping daemon must have answered what it accepts; unset
+  /// unless it is stopping.
   std::optional<base::Millis> stops_in;
 };
 
@@ -33,8 +40,8 @@
   int priority = 0;
   /// Time from arrival until the final answer is due.
   base::Millis time_left{0};
-  /// Time that the request was estimated to need.
-  base::Millis time_needed{0};
+  /// Longest time that the request may take once it is sent to an upstream.
+  base::Millis longest{0};
   CallerRequest caller;
 };
 
@@ -52,8 +59,8 @@
 /// A daemon that was disconnected or suspended may have missed that a key was
 /// revoked, so an outdated configuration neither accepts a key nor denies a
 /// route or key. It answers 503, as does a daemon without a configuration. A
-/// stopping daemon rejects what it could not finish, such as long generations
-/// that arrive on keep-alive connections.
+/// stopping daemon rejects what it may not be able to finish: the length of a
+/// generation is unknown, so its limit decides and not the caller's estimate.
 std::variant<AdmittedRequest, Rejection> AdmitRequest(
     const http::Request& request,
     const absl::StatusOr<CallerRequest>& parsed,
--- a/src/relay/send_once.cc
+++ b/src/relay/send_once.cc
@@ -40,6 +40,7 @@
     case SendOutcome::kOtherUpstream:
     case SendOutcome::kNotRun:
     case SendOutcome::kCallerGone:
+    case SendOutcome::kStopping:
       break;
   }
 }
@@ -109,11 +110,33 @@
                            position);
 }
 
+bool MaySend(const ForwardServices& services, const ForwardCall& call) {
+  return call.answer_started ||
+         services.stop.Allows(call.admitted.longest, services.clock.Now());
+}
+
+Task<WaitResult> WaitForSend(const ForwardServices& services,
+                             ForwardCallPtr call,
+                             PlaceRequest request) {
+  WaitResult wait;
+  if (MaySend(services, *call)) {
+    wait = co_await WaitForPlace(services.placer, services.clock,
+                                 std::move(request), call->wake);
+  }
+  // The daemon may have begun to stop during the wait.
+  if (!MaySend(services, *call)) {
+    wait.place.reset();
+    wait.stopping = true;
+  }
+  co_return std::move(wait);
+}
+
 bool TryRetry(const ForwardServices& services,
               const ForwardCall& call,
               const fleet::Pool& pool,
               SendOutcome end) {
-  if (call.ended() || !MayRetry(call.admitted.route, call.history)) {
+  if (call.ended() || !MaySend(services, call) ||
+      !MayRetry(call.admitted.route, call.history)) {
     return false;
   }
   // A send without a connection caused no load, so its retry is free.
--- a/src/relay/send_once.h
+++ b/src/relay/send_once.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "relay/forwarder.h"
+#include "relay/place_wait.h"
 
 namespace dandelion::relay {
 
@@ -21,6 +22,17 @@
 /// has no pool that is defined.
 const fleet::Pool* SelectPool(const ForwardCall& call);
 
+/// Waits for a place for the first or another send. Returns none if the daemon
+/// stops before the request could end there, unless the caller already has a
+/// part of the answer; `stopping` is then set.
+base::Task<WaitResult> WaitForSend(const ForwardServices& services,
+                                   ForwardCallPtr call,
+                                   PlaceRequest request);
+
+/// Whether the request may still be sent: it ends before the daemon stops, or
+/// the caller already has a part of its answer.
+bool MaySend(const ForwardServices& services, const ForwardCall& call);
+
 /// Returns whether to retry on another upstream after a send that ended with
 /// `end`. Spends a retry from the budget unless nothing was sent.
 bool TryRetry(const ForwardServices& services,
--- a/src/relay/stream_forward.cc
+++ b/src/relay/stream_forward.cc
@@ -8,7 +8,6 @@
 #include "absl/strings/str_cat.h"
 #include "relay/event_splitter.h"
 #include "relay/generation_size.h"
-#include "relay/place_wait.h"
 #include "relay/send_once.h"
 #include "telemetry/events.h"
 
@@ -77,8 +76,11 @@
     std::optional<Place> place = std::move(wait.place);
     if (!place) {
       result_.capacity_in = wait.capacity_in;
-      co_return Ended(call_->EndReasonOr(SendOutcome::kNotSent),
-                      "no engine has enough free capacity");
+      co_return wait.stopping
+          ? Ended(call_->EndReasonOr(SendOutcome::kStopping),
+                  std::string(kStoppingReason))
+          : Ended(call_->EndReasonOr(SendOutcome::kNotSent),
+                  "no engine has enough free capacity");
     }
     while (place) {
       request_.excluded.insert(place->upstream);
@@ -114,10 +116,7 @@
                      call_->admitted.route.answer_target * kMaxWaitInTargets);
   }
 
-  Task<WaitResult> Wait() {
-    return WaitForPlace(services_.placer, services_.clock, request_,
-                        call_->wake);
-  }
+  Task<WaitResult> Wait() { return WaitForSend(services_, call_, request_); }
 
   ForwardResult Ended(SendOutcome end, std::string reason) {
     result_.end = end;
--- a/test/decisions-test.cc
+++ b/test/decisions-test.cc
@@ -406,8 +406,9 @@
   int StatusOf(const std::string& key, Millis age) {
     relay::CallerRequest caller;
     caller.key = key;
-    caller.deadline = Millis(1000);
+    caller.deadline = deadline;
     caller.expected_output_tokens = expected_output;
+    caller.max_output_tokens = output_limit;
     const relay::AdmissionState state{
         std::make_shared<const fleet::Catalogue>(catalogue), age, Millis(4000),
         stops_in};
@@ -418,7 +419,9 @@
 
   fleet::Catalogue catalogue;
   std::optional<Millis> stops_in;
+  Millis deadline{1000};
   int64_t expected_output = 0;
+  int64_t output_limit = 0;
   http::Request request;
   std::variant<relay::AdmittedRequest, relay::Rejection> passed;
 };
@@ -456,6 +459,28 @@
   CHECK(fixture.StatusOf("key", Millis(100)) == 503);
 }
 
+// Estimates of an output are often far too short.
+TEST_CASE("a stopping daemon rejects a generation whose limit does not fit",
+          "[gate]") {
+  GateFixture fixture;
+  fixture.catalogue.routes[0].kind = fleet::RequestKind::kGeneration;
+  fixture.catalogue.routes[0].timeout = Millis(60'000);
+  fixture.expected_output = 10;
+  fixture.output_limit = 2000;
+  fixture.deadline = Millis(39'000);
+  CHECK(fixture.StatusOf("key", Millis(100)) == 200);
+  fixture.stops_in = Millis(7000);
+  CHECK(fixture.StatusOf("key", Millis(100)) == 503);
+  // Without a limit the output may take until the caller's deadline.
+  fixture.output_limit = 0;
+  CHECK(fixture.StatusOf("key", Millis(100)) == 503);
+  fixture.deadline = Millis(6000);
+  CHECK(fixture.StatusOf("key", Millis(100)) == 200);
+  fixture.deadline = Millis(39'000);
+  fixture.output_limit = 20;
+  CHECK(fixture.StatusOf("key", Millis(100)) == 200);
+}
+
 TEST_CASE("the longest path prefix wins and public routes need no key",
           "[gate]") {
   GateFixture fixture;
--- a/test/forward-support.cc
+++ b/test/forward-support.cc
@@ -113,10 +113,10 @@
           }});
   forwarder_ = std::make_unique<relay::Forwarder>(relay::ForwardServices{
       executor(), clock_, protocol_, *placer, *migrator, engines, health,
-      retry_budget, metrics, [] { return size_t{1}; },
+      retry_budget, metrics, stop, [] { return size_t{1}; },
       [this] {
         return relay::AdmissionState{catalogue_, catalogue_age, Millis(4000),
-                                     std::nullopt};
+                                     stop.TimeLeft(clock_.Now())};
       }});
   callers_ = std::make_unique<http::Server>(
       executor(), http::ServerLimits(), [this](http::Exchange& exchange) {
@@ -207,18 +207,31 @@
     http::Request request) {
   absl::StatusOr<http::Response> response = absl::UnknownError("no answer");
   bool done = false;
+  StartRequest(std::move(request),
+               [&](absl::StatusOr<http::Response> received) {
+                 response = std::move(received);
+                 done = true;
+               });
+  RunUntil([&done] { return done; });
+  return response;
+}
+
+void ForwardFixture::StartRequest(
+    http::Request request,
+    std::function<void(absl::StatusOr<http::Response>)> on_response) {
   const tcp::endpoint address(boost::asio::ip::address_v4::loopback(), port());
-  const auto send = [&]() -> Task<void> {
+  const auto send =
+      [](http::Client& client, tcp::endpoint daemon, http::Request sent,
+         std::function<void(absl::StatusOr<http::Response>)> callback)
+      -> Task<void> {
     http::FetchLimits limits;
     limits.new_connection = true;
     http::FetchResult result =
-        co_await client_.Fetch(address, std::move(request), limits);
-    response = std::move(result.response);
-    done = true;
+        co_await client.Fetch(daemon, std::move(sent), limits);
+    callback(std::move(result.response));
   };
-  base::Spawn(executor(), send());
-  RunUntil([&done] { return done; });
-  return response;
+  base::Spawn(executor(), send(client_, address, std::move(request),
+                               std::move(on_response)));
 }
 
 http::Response ForwardFixture::SendRequestOrThrow(http::Request request) {
--- a/test/forward-support.h
+++ b/test/forward-support.h
@@ -93,11 +93,17 @@
                       std::string answer);
   /// Sends a request and waits for the complete answer.
   absl::StatusOr<http::Response> SendRequest(http::Request request);
+  /// Sends a request. Calls `on_response` with the answer while tasks run.
+  void StartRequest(
+      http::Request request,
+      std::function<void(absl::StatusOr<http::Response>)> on_response);
   /// Like `SendRequest`, but throws if there is no complete answer.
   http::Response SendRequestOrThrow(http::Request request);
   /// Runs tasks until the condition holds. Returns false after ten seconds.
   bool RunUntil(const std::function<bool()>& condition);
   base::Executor executor() { return context_.get_executor(); }
+  base::Millis Now() const { return clock_.Now(); }
+  relay::Forwarder& forwarder() { return *forwarder_; }
   unsigned short port() const { return callers_->port(); }
 
   FakeEngineControl engines;
@@ -109,6 +115,7 @@
   relay::PoolRetryBudget retry_budget;
   telemetry::Metrics metrics;
   base::Millis catalogue_age{0};
+  admission::StopDeadline stop;
 
  private:
   void RegisterUpstream(const std::string& id,
--- a/test/forward-test.cc
+++ b/test/forward-test.cc
@@ -508,6 +508,35 @@
   CHECK(first.seen().size() + second.seen().size() == 1);
 }
 
+TEST_CASE("a request that waited into a stop is not sent", "[forward]") {
+  const RequestKind kind =
+      GENERATE(RequestKind::kNonIdempotent, RequestKind::kGeneration);
+  ForwardFixture fixture("work", kind);
+  absl::StatusOr<http::Response> response = absl::UnknownError("no answer");
+  bool done = false;
+  fixture.StartRequest(CallerRequestFor("work", "r-1"),
+                       [&](absl::StatusOr<http::Response> received) {
+                         response = std::move(received);
+                         done = true;
+                       });
+  REQUIRE(fixture.RunUntil([&] { return fixture.placer->waiting() == 1; }));
+  // An upstream is free only when it is too late to finish the request.
+  fixture.stop.Set(fixture.Now() + base::Millis(100));
+  const FakeUpstream& upstream =
+      fixture.AddUpstream("u-1", "work", RespondWithAnswer);
+  const bool is_told = GENERATE(true, false);
+  if (is_told) {
+    fixture.forwarder().RejectUnsendable();
+  } else {
+    fixture.placer->DispatchWaiting();
+  }
+  REQUIRE(fixture.RunUntil([&] { return done; }));
+  REQUIRE(response.ok());
+  CHECK(response->status == 503);
+  CHECK(response->headers.Has("Retry-After"));
+  CHECK(upstream.seen().empty());
+}
+
 TEST_CASE("closing idle connections spares those whose request has not ended",
           "[forward]") {
   boost::asio::io_context context;
