Answer every request before a stopping daemon ends

Callers saw: a request that waited for an upstream, or that its upstream had not answered, ended with the process; its connection was closed without an answer.

Cause: the drain's end cut whatever was in progress. Only an answer that has begun can't be ended otherwise; for the rest the daemon knows what to say.

An answer whose upstream fails before its first byte was passed on is now reported as a failure as well; it used to be begun and then cut, which a stop would have done to such answers.

--- a/src/kernel/fleet_daemon.cc
+++ b/src/kernel/fleet_daemon.cc
@@ -135,6 +135,9 @@
     while (clock_.Now() < drain_deadline) {
       co_await base::SleepFor(kDrainCheckInterval);
       forwarder_.RejectUnsendable();
+      if (stop_.TimeLeft(clock_.Now()) == Millis(0)) {
+        forwarder_.EndUnanswered();
+      }
       if (clock_.Now() - drain_started_at < kMinDrainTime) {
         continue;
       }
--- a/src/relay/forward_call.cc
+++ b/src/relay/forward_call.cc
@@ -69,7 +69,10 @@
   if (caller_gone_) {
     return SendOutcome::kCallerGone;
   }
-  return timed_out_ ? SendOutcome::kTimedOut : fallback;
+  if (timed_out_) {
+    return SendOutcome::kTimedOut;
+  }
+  return stopping_ ? SendOutcome::kStopping : fallback;
 }
 
 }  // namespace dandelion::relay
--- a/src/relay/forward_call.h
+++ b/src/relay/forward_call.h
@@ -27,17 +27,24 @@
   /// Ends the call: disconnects and the deadline no longer have any effect.
   void Finish();
 
+  /// Ends the call because the daemon stops: closes the upstream connection and
+  /// ends a wait, so that the caller gets a final answer.
+  void EndForStop() {
+    stopping_ = true;
+    Stop();
+  }
   /// Ends a wait for a place; does nothing at any other time.
   void EndWait() { wake.cancel(); }
 
   /// Sets the connection to the upstream; null for none. It is closed at once
   /// if the call was already ended from outside.
   void SetConnection(http::Connection* connection);
-  /// Returns `kCallerGone` or `kTimedOut` if the caller disconnected or the
-  /// deadline passed, and `fallback` if neither happened.
+  /// Returns `kCallerGone`, `kTimedOut` or `kStopping` if the caller
+  /// disconnected, the deadline passed or the daemon stops, and `fallback` if
+  /// none of these happened.
   SendOutcome EndReasonOr(SendOutcome fallback) const;
-  /// Whether the caller disconnected or the deadline passed.
-  bool ended() const { return caller_gone_ || timed_out_; }
+  /// Whether the call was ended from outside.
+  bool ended() const { return caller_gone_ || timed_out_ || stopping_; }
   bool caller_gone() const { return caller_gone_; }
   /// Time by which the final answer is due.
   base::Millis deadline() const { return arrived + admitted.time_left; }
@@ -63,6 +70,7 @@
   http::Connection* connection_ = nullptr;
   bool caller_gone_ = false;
   bool timed_out_ = false;
+  bool stopping_ = false;
   bool finished_ = false;
 };
 
--- a/src/relay/forwarder.cc
+++ b/src/relay/forwarder.cc
@@ -94,6 +94,14 @@
   }
 }
 
+void Forwarder::EndUnanswered() {
+  for (ForwardCall* call : calls_) {
+    if (!call->answer_started) {
+      call->EndForStop();
+    }
+  }
+}
+
 void Forwarder::LogUnfinished() const {
   const Millis now = services_.clock.Now();
   for (const ForwardCall* call : calls_) {
@@ -168,6 +176,7 @@
     call->exchange.Abort();
     co_return;
   }
+  call->answer_started = true;
   co_await Reject(call->exchange, std::move(rejection));
 }
 
--- a/src/relay/forwarder.h
+++ b/src/relay/forwarder.h
@@ -50,6 +50,9 @@
   /// Ends the wait of each request that may no longer be sent before the daemon
   /// stops, so that its caller can try another daemon.
   void RejectUnsendable();
+  /// Gives each request whose answer has not begun its final answer, because
+  /// the daemon ends soon.
+  void EndUnanswered();
   /// Logs each request that is in progress, because the daemon ends without
   /// finishing it.
   void LogUnfinished() const;
--- a/src/relay/plain_forward.cc
+++ b/src/relay/plain_forward.cc
@@ -153,7 +153,14 @@
   const bool is_head_request = call->exchange.request().method == "HEAD";
   absl::StatusOr<std::string_view> piece = co_await connection.ReadSome(
       call->OperationTimeout(services.clock.Now()));
-  if (piece.ok() && piece->empty() && !is_head_request) {
+  if (!piece.ok()) {
+    // Nothing was sent to the caller yet, so a failure can still be reported.
+    call->SetConnection(nullptr);
+    result.end = call->EndReasonOr(SendOutcome::kBroken);
+    result.reason = std::string(piece.status().message());
+    co_return result;
+  }
+  if (piece->empty() && !is_head_request) {
     http::Response complete =
         MakeCompleteResponse(reply.head, std::move(first));
     call->answer_started = true;
--- a/test/forward-test.cc
+++ b/test/forward-test.cc
@@ -537,6 +537,38 @@
   CHECK(upstream.seen().empty());
 }
 
+TEST_CASE("a request that is unanswered at the end of a stop gets an answer",
+          "[forward]") {
+  const RequestKind kind =
+      GENERATE(RequestKind::kNonIdempotent, RequestKind::kGeneration);
+  ForwardFixture fixture("work", kind);
+  const bool is_sent = GENERATE(true, false);
+  const FakeUpstream* upstream = nullptr;
+  if (is_sent) {
+    upstream = &fixture.AddUpstream("u-1", "work",
+                                    [](http::Exchange& exchange) -> Task<void> {
+                                      exchange.HoldOpen();
+                                      co_return;
+                                    });
+  }
+  absl::StatusOr<http::Response> response = absl::UnknownError("no answer");
+  bool done = false;
+  fixture.StartRequest(CallerRequestFor("work", "r-1"),
+                       [&](absl::StatusOr<http::Response> received) {
+                         response = std::move(received);
+                         done = true;
+                       });
+  REQUIRE(fixture.RunUntil([&] {
+    return is_sent ? upstream->seen().size() == 1
+                   : fixture.placer->waiting() == 1;
+  }));
+  fixture.forwarder().EndUnanswered();
+  REQUIRE(fixture.RunUntil([&] { return done; }));
+  REQUIRE(response.ok());
+  // 503 states that the request did not run.
+  CHECK(response->status == (is_sent ? 502 : 503));
+}
+
 TEST_CASE("closing idle connections spares those whose request has not ended",
           "[forward]") {
   boost::asio::io_context context;
