Log which parts the prompts have under which engines' answers break

Callers saw one 502 after the other for requests whose prompts share a part: each crashes the engine that begins to answer it. The logs gave neither the parts of a prompt nor how far an answer was when it broke, so a request that crashes an engine could not be told from one beside it.

The shared parts of a prompt are parsed into CallerRequest (the last part belongs to one request and is left out) and logged with each send (513). A new event (524) gives the progress of an engine's answer that broke.

What the daemons do is unchanged.

The test covers a missing header.

--- a/src/relay/platform_protocol.h
+++ b/src/relay/platform_protocol.h
@@ -15,6 +15,12 @@
 
 namespace dandelion::relay {
 
+/// A part of a prompt.
+struct PromptPart {
+  base::PartId id;
+  base::Tokens tokens;
+};
+
 /// Properties of a request that its caller sends in headers.
 struct CallerRequest {
   base::RequestId id;
@@ -23,6 +29,9 @@
   /// API key that identifies the organisation; empty if none was sent.
   std::string key;
   int64_t prompt_tokens = 0;
+  /// The parts of the prompt that other requests may share, in order. The last
+  /// part of a prompt belongs to one request or session and is left out.
+  std::vector<PromptPart> shared_parts;
   /// Limit of the output; 0 if the caller set none.
   int64_t max_output_tokens = 0;
   /// The caller's estimate. It is right in the median but often far off.
--- a/src/relay/send_once.cc
+++ b/src/relay/send_once.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 #include "telemetry/events.h"
 
 namespace dandelion::relay {
@@ -94,11 +95,19 @@
         {"end", std::string(ToString(reply.end))},
         {"status", absl::StrCat(reply.head.status)},
         {"reason", reply.reason},
+        {"shared_parts", JoinPartIds(call->admitted.caller.shared_parts)},
         {"waited_ms", absl::StrCat((started - call->arrived).count())},
         {"took_ms", absl::StrCat((now - started).count())}});
   co_return reply;
 }
 
+std::string JoinPartIds(const std::vector<PromptPart>& parts) {
+  return absl::StrJoin(parts, ",",
+                       [](std::string* out, const PromptPart& part) {
+                         absl::StrAppend(out, part.id.value());
+                       });
+}
+
 const fleet::Pool* SelectPool(const ForwardCall& call) {
   // Derived from the request ID, so that every daemon selects the same pool.
   constexpr double kResolution = 1e6;
--- a/src/relay/send_once.h
+++ b/src/relay/send_once.h
@@ -2,6 +2,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "relay/forwarder.h"
 #include "relay/place_wait.h"
@@ -18,6 +19,9 @@
                                    std::optional<KvCacheCopy> copy,
                                    std::optional<int64_t> after_event);
 
+/// Returns the IDs of the parts as they are written to the log.
+std::string JoinPartIds(const std::vector<PromptPart>& parts);
+
 /// Selects the request's pool by the weights of its route. Null if the route
 /// has no pool that is defined.
 const fleet::Pool* SelectPool(const ForwardCall& call);
--- a/src/relay/stream_forward.cc
+++ b/src/relay/stream_forward.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <string>
 #include <utility>
 
 #include "absl/cleanup/cleanup.h"
@@ -35,6 +36,13 @@
 // Longest wait for the result of the final copy after the stream broke.
 constexpr Millis kFinalCopyTimeout{1500};
 
+// How far an engine's answer to one send has come.
+struct RunProgress {
+  std::optional<Millis> head_at;
+  // Events that the caller did not have yet.
+  int64_t events = 0;
+};
+
 /// Forwards one generation, with retries and switches to KV cache copies.
 class StreamForwarder {
  public:
@@ -187,17 +195,40 @@
   // Sends the request to `generation_->place` and forwards events until the
   // stream ends or breaks.
   Task<SendOutcome> PassStream(std::optional<KvCacheCopy> copy) {
+    progress_ = {};
     UpstreamReply reply = co_await SendOnce(
         services_, call_, generation_->place, std::move(copy), resume_after_);
     if (reply.end != SendOutcome::kAnswered) {
       result_.reason = reply.reason;
+      LogIfBroken(reply.end);
       co_return reply.end;
     }
     const absl::Cleanup closed = [this] { call_->SetConnection(nullptr); };
     if (reply.head.status != kOk) {
       co_return co_await HandleEngineError(reply);
     }
-    co_return co_await PassEvents(reply);
+    progress_.head_at = services_.clock.Now();
+    const SendOutcome end = co_await PassEvents(reply);
+    LogIfBroken(end);
+    co_return end;
+  }
+
+  // Logs how far the engine's answer was if it broke, unless the engine was
+  // told to stop the generation.
+  void LogIfBroken(SendOutcome end) const {
+    if (end != SendOutcome::kBroken || generation_->final_copy_running) {
+      return;
+    }
+    const Millis now = services_.clock.Now();
+    const Millis head_age = now - progress_.head_at.value_or(now);
+    Emit(Event::kRunBroken,
+         {{"request", generation_->id.value()},
+          {"upstream", generation_->place.upstream.value()},
+          {"head", progress_.head_at ? "1" : "0"},
+          {"head_age_ms", absl::StrCat(head_age.count())},
+          {"events", absl::StrCat(progress_.events)},
+          {"shared_parts", JoinPartIds(call_->admitted.caller.shared_parts)},
+          {"reason", result_.reason}});
   }
 
   // Passes an engine's error to the caller, unless another engine can be tried
@@ -252,6 +283,7 @@
       if (event.id) {
         generation_->last_event = *event.id;
       }
+      ++progress_.events;
       bytes += event.bytes;
       RecordEvent(last_event_at);
     }
@@ -327,6 +359,7 @@
   EventSplitter splitter_;
   /// Number of the event after which the engine is asked to continue.
   std::optional<int64_t> resume_after_;
+  RunProgress progress_;
   /// The copy from which the next send continues.
   KvCacheCopy resume_copy_;
   /// Whether the head of the answer was sent to the caller.
--- a/src/telemetry/events.cc
+++ b/src/telemetry/events.cc
@@ -81,6 +81,7 @@
     EventRow{Event::kRunMoved, Level::kInfo, "run_moved"},
     EventRow{Event::kRunLost, Level::kWarning, "run_lost"},
     EventRow{Event::kRunMoveFailed, Level::kWarning, "run_move_failed"},
+    EventRow{Event::kRunBroken, Level::kInfo, "run_broken"},
 };
 
 std::atomic<Level> min_level{Level::kInfo};
--- a/src/telemetry/events.h
+++ b/src/telemetry/events.h
@@ -66,6 +66,7 @@
   kRunMoved = 521,
   kRunLost = 522,
   kRunMoveFailed = 523,
+  kRunBroken = 524,
 };
 
 /// The severity of an event, lowest first.
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -4,6 +4,7 @@
 
 #include "base/error.h"
 #include "kernel/fleet_settings.h"
+#include "platform/platform_protocol.h"
 #include "platform/records.h"
 #include "platform/store_client.h"
 #include "test/fake-store.h"
@@ -179,5 +180,26 @@
                          .status()) == ErrorKind::kPlatformUnreachable);
 }
 
+TEST_CASE("the parts of a prompt but the last are parsed", "[protocol]") {
+  const relay::PlatformProtocol protocol = platform::MakePlatformProtocol();
+  const auto parse = [&protocol](const std::string& parts) {
+    http::Request request;
+    request.headers.Add("X-Dandeliondyke-Prefix-Hash", parts);
+    return protocol.parse_caller_request(request).value().shared_parts;
+  };
+  const std::vector<relay::PromptPart> parts = parse("a1:800,b2:410,c3:250");
+  REQUIRE(parts.size() == 2);
+  CHECK(parts[0].id == base::PartId("a1"));
+  CHECK(parts[0].tokens == base::Tokens(800));
+  CHECK(parts[1].id == base::PartId("b2"));
+  CHECK(parse("a1:800").empty());
+  CHECK(parse("").empty());
+  CHECK(parse(",").empty());
+  CHECK(parse("a1,b2:410,c3:250").empty());
+  CHECK(protocol.parse_caller_request(http::Request())
+            .value()
+            .shared_parts.empty());
+}
+
 }  // namespace
 }  // namespace dandelion::test
