--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -53,6 +53,8 @@
 using RouteName = Id<struct RouteTag>;
 using GenerationId = Id<struct GenerationTag>;
 using RequestId = Id<struct RequestTag>;
+/// Identifies a part of a prompt that several requests may share.
+using PartId = Id<struct PartTag>;
 /// Identifies one lifetime of a process; a restart at the same address gets a
 /// new one.
 using Incarnation = Id<struct IncarnationTag>;
