Test that a part which crashes engines stops reaching them (failing)

What callers see: requests whose prompts share one part crash one engine after the other, and other callers' generations there are cut.

Three tests, all failing on this code: 12 requests with the part crash 12 engines, where 5 crashes are the bound and the last request is to be rejected with 503 and Retry-After; the same while no sound request has shown the other parts to be sound; a resumable generation that broke as it began is sent to three engines. The fixture's clock can be set forward, so that the test needs no pauses.

--- /dev/null
+++ b/test/forward-parts-test.cc
@@ -0,0 +1,107 @@
+#include <catch2/catch.hpp>
+
+#include <string>
+
+#include "test/forward-support.h"
+
+namespace dandelion::test {
+namespace {
+
+using base::Millis;
+using base::Task;
+using fleet::RequestKind;
+
+constexpr int kEngines = 12;
+// Crashes after which requests with the part must no longer reach engines.
+constexpr int kMaxCrashes = 5;
+constexpr int kUnavailable = 503;
+const std::string kCrashingPart = "bad0";
+
+/// Engines of which each breaks off its answer to a prompt with
+/// `kCrashingPart` after the head.
+struct CrashFixture : ForwardFixture {
+  explicit CrashFixture(bool resumable = false) {
+    fleet::Route& route = AddRoute("draft", RequestKind::kGeneration);
+    route.resumable = resumable;
+    route.max_upstreams = resumable ? 3 : 1;
+    Publish();
+    for (int i = 0; i < kEngines; ++i) {
+      AddUpstream("u-" + std::to_string(i), "draft", Handler());
+    }
+  }
+
+  http::Handler Handler() {
+    return [this](http::Exchange& exchange) -> Task<void> {
+      http::Response head = SealedResponse(exchange.request(), "");
+      (void)co_await exchange.StartStream(std::move(head));
+      const std::string parts(
+          exchange.request().headers.Find("X-Dandeliondyke-Prefix-Hash"));
+      if (parts.find(kCrashingPart) != std::string::npos) {
+        ++crashes;
+        exchange.Abort();
+        co_return;
+      }
+      (void)co_await exchange.Write("id: 1\ndata: x\n\n");
+      (void)co_await exchange.Finish();
+    };
+  }
+
+  /// Sends a request whose prompt has the shared parts, and a last part of its
+  /// own. Requests come a second apart.
+  http::Response Send(const std::string& shared_parts) {
+    AdvanceClock(Millis(1000));
+    const std::string id = "r-" + std::to_string(++requests);
+    http::Request request = CallerRequestFor("draft", id);
+    request.headers.Add("X-Dandeliondyke-Prefix-Hash",
+                        shared_parts + "," + id + ":20");
+    return SendRequestOrThrow(std::move(request));
+  }
+
+  int requests = 0;
+  int crashes = 0;
+};
+
+TEST_CASE("requests with a part that crashes engines keep reaching engines",
+          "[parts]") {
+  CrashFixture fixture;
+  CHECK(fixture.Send("ca11e4:80,70b1c:300").status == 200);
+  http::Response response;
+  for (int i = 0; i < kEngines; ++i) {
+    response = fixture.Send("ca11e4:80,70b1c:300," + kCrashingPart + ":40");
+    CHECK(fixture.Send("ca11e4:80,70b1c:300").status == 200);
+  }
+  CHECK(fixture.crashes <= kMaxCrashes);
+  CHECK(response.status == kUnavailable);
+  CHECK(response.headers.Has("Retry-After"));
+}
+
+TEST_CASE(
+    "requests with a part that crashes engines are not told from others of "
+    "their caller",
+    "[parts]") {
+  CrashFixture fixture;
+  CHECK(fixture.Send("ca11e4:80,0the4:300").status == 200);
+  // No sound request has the second part so far.
+  for (int i = 0; i < kEngines; ++i) {
+    (void)fixture.Send("ca11e4:80,70b1c:300," + kCrashingPart + ":40");
+  }
+  CHECK(fixture.crashes <= kMaxCrashes);
+  CHECK(fixture.Send("ca11e4:80,0the4:300").status == 200);
+  CHECK(fixture.Send("ca11e4:80,70b1c:300").status == 200);
+  const int before = fixture.crashes;
+  CHECK(fixture.Send("ca11e4:80," + kCrashingPart + ":40").status ==
+        kUnavailable);
+  CHECK(fixture.crashes == before);
+}
+
+TEST_CASE("a generation that broke as it began crashes a second engine",
+          "[parts]") {
+  CrashFixture fixture(true);
+  const http::Response response =
+      fixture.Send("ca11e4:80," + kCrashingPart + ":40");
+  CHECK(response.status == 502);
+  CHECK(fixture.crashes == 1);
+}
+
+}  // namespace
+}  // namespace dandelion::test
--- a/test/forward-support.cc
+++ b/test/forward-support.cc
@@ -94,7 +94,9 @@
               [](const base::UpstreamId&) {}}),
       retry_budget(relay::PoolRetryBudget::Bounds()),
       metrics(10),
-      clock_(base::Clock::BootTime()),
+      clock_([this, host = base::Clock::BootTime()] {
+        return host.Now() + clock_offset_;
+      }),
       protocol_(platform::MakePlatformProtocol()) {
   placer = std::make_unique<relay::Placer>(
       clock_, base::DataCentreId("dc-a"), upstreams, loads, health,
@@ -234,6 +236,10 @@
                                std::move(on_response)));
 }
 
+void ForwardFixture::AdvanceClock(Millis by) {
+  clock_offset_ = clock_offset_ + by;
+}
+
 http::Response ForwardFixture::SendRequestOrThrow(http::Request request) {
   absl::StatusOr<http::Response> response = SendRequest(std::move(request));
   if (!response.ok()) {
--- a/test/forward-support.h
+++ b/test/forward-support.h
@@ -103,6 +103,8 @@
   bool RunUntil(const std::function<bool()>& condition);
   base::Executor executor() { return context_.get_executor(); }
   base::Millis Now() const { return clock_.Now(); }
+  /// Sets the daemon's clock forward. Timers are not affected.
+  void AdvanceClock(base::Millis by);
   relay::Forwarder& forwarder() { return *forwarder_; }
   unsigned short port() const { return callers_->port(); }
 
@@ -124,6 +126,7 @@
 
   boost::asio::io_context context_;
   http::Client client_;
+  base::Millis clock_offset_{0};
   base::Clock clock_;
   relay::PlatformProtocol protocol_;
   fleet::Catalogue draft_;
