Share among daemons which parts of prompts crash engines

A daemon that saw one crash cannot tell the part that caused it, and a part that one daemon has found is sent on by the others. Heartbeats now carry crashes, quarantines and proofs, with ages, because clocks of two hosts cannot be compared: news at once, beside changed loads, and all that is known every fourth heartbeat, so that a daemon that started or was cut off learns it. A daemon that knows a suspected part to be sound answers with the proof.

The daemon logs 530 part_suspected, 531 part_quarantined and 532 part_cleared. Nothing records crashes yet. The evidence poll replaces the module's on_change hook.

--- /dev/null
+++ b/src/admission/part_exchange.cc
@@ -0,0 +1,99 @@
+#include "admission/part_exchange.h"
+
+#include <string>
+#include <utility>
+
+namespace dandelion::admission {
+namespace {
+
+using base::Millis;
+using base::PartId;
+using base::UpstreamId;
+using PartNames = google::protobuf::RepeatedPtrField<std::string>;
+
+void EncodeParts(const PartList& parts, PartNames* out) {
+  for (const PartId& part : parts) {
+    *out->Add() = part.value();
+  }
+}
+
+PartList DecodeParts(const PartNames& names) {
+  return {names.begin(), names.end()};
+}
+
+void EncodeCrash(const PartEvidence::Crash& crash, proto::EngineCrash* out) {
+  out->set_upstream(crash.upstream.value());
+  out->set_age_ms(crash.age.count());
+  for (const PartList& parts : crash.requests) {
+    EncodeParts(parts, out->add_requests()->mutable_parts());
+  }
+}
+
+PartEvidence::Crash DecodeCrash(const proto::EngineCrash& in) {
+  PartEvidence::Crash crash;
+  crash.upstream = UpstreamId(in.upstream());
+  crash.age = Millis(in.age_ms());
+  for (const proto::PromptParts& request : in.requests()) {
+    crash.requests.insert(DecodeParts(request.parts()));
+  }
+  return crash;
+}
+
+void EncodeQuarantine(const PartEvidence::Quarantine& quarantine,
+                      proto::QuarantinedParts* out) {
+  EncodeParts(quarantine.parts, out->mutable_parts());
+  out->set_crashes(quarantine.crashes);
+  out->set_break_age_ms(quarantine.break_age.count());
+  out->set_trials(quarantine.trials);
+  out->set_trial_age_ms(quarantine.trial_age.count());
+}
+
+PartEvidence::Quarantine DecodeQuarantine(const proto::QuarantinedParts& in) {
+  PartEvidence::Quarantine quarantine;
+  quarantine.parts = DecodeParts(in.parts());
+  quarantine.crashes = in.crashes();
+  quarantine.break_age = Millis(in.break_age_ms());
+  quarantine.trials = in.trials();
+  quarantine.trial_age = Millis(in.trial_age_ms());
+  return quarantine;
+}
+
+}  // namespace
+
+proto::PartEvidence CollectPartEvidence(PartQuarantine& quarantine,
+                                        bool all,
+                                        Millis now) {
+  const PartEvidence evidence = quarantine.CollectEvidence(all, now);
+  proto::PartEvidence message;
+  for (const PartEvidence::Crash& crash : evidence.crashes) {
+    EncodeCrash(crash, message.add_crashes());
+  }
+  for (const PartEvidence::Quarantine& item : evidence.quarantines) {
+    EncodeQuarantine(item, message.add_quarantines());
+  }
+  for (const PartEvidence::Proof& proof : evidence.proofs) {
+    proto::PartProof* out = message.add_proofs();
+    out->set_part(proof.part.value());
+    out->set_age_ms(proof.age.count());
+  }
+  return message;
+}
+
+void ApplyPartEvidence(const base::HostId& from,
+                       const proto::PartEvidence& message,
+                       Millis now,
+                       PartQuarantine& quarantine) {
+  PartEvidence evidence;
+  for (const proto::EngineCrash& crash : message.crashes()) {
+    evidence.crashes.push_back(DecodeCrash(crash));
+  }
+  for (const proto::QuarantinedParts& item : message.quarantines()) {
+    evidence.quarantines.push_back(DecodeQuarantine(item));
+  }
+  for (const proto::PartProof& proof : message.proofs()) {
+    evidence.proofs.push_back({PartId(proof.part()), Millis(proof.age_ms())});
+  }
+  quarantine.ApplyPeerEvidence(from, evidence, now);
+}
+
+}  // namespace dandelion::admission
--- a/src/admission/part_quarantine.cc
+++ b/src/admission/part_quarantine.cc
@@ -72,11 +72,6 @@
   return unproven;
 }
 
-void PartQuarantine::MarkChanged() {
-  changed_ = true;
-  hooks_.on_change();
-}
-
 void PartQuarantine::AddProof(const PartId& part, Millis sound_at) {
   const auto [proof, is_new] = proofs_.try_emplace(part);
   if (is_new) {
@@ -104,7 +99,7 @@
   }
   proof->second.told_at = now;
   proofs_to_send_.insert(part);
-  MarkChanged();
+  changed_ = true;
 }
 
 bool PartQuarantine::IsReported(const PartId& part) const {
@@ -212,7 +207,7 @@
       quarantine.changed = true;
     }
   }
-  MarkChanged();
+  changed_ = true;
 }
 
 size_t PartQuarantine::CountCrashes(const std::set<size_t>& crashes) const {
@@ -431,7 +426,7 @@
     quarantine->changed = true;
   }
   if (!tested.empty()) {
-    MarkChanged();
+    changed_ = true;
   }
   return true;
 }
--- a/src/admission/part_quarantine.h
+++ b/src/admission/part_quarantine.h
@@ -103,8 +103,6 @@
         on_suspected;
     std::function<void(const base::PartId&, int64_t crashes)> on_quarantined;
     std::function<void(const base::PartId&)> on_cleared;
-    /// This daemon has new evidence for its peers.
-    std::function<void()> on_change;
   };
 
   PartQuarantine(base::HostId self, Hooks hooks);
@@ -135,6 +133,7 @@
   /// Returns all evidence if `all` is set, else what is new at this daemon
   /// since the last call.
   PartEvidence CollectEvidence(bool all, base::Millis now);
+  /// Whether this daemon has evidence that it has not collected for peers yet.
   bool has_changes() const { return changed_; }
   void ApplyPeerEvidence(const base::HostId& from,
                          const PartEvidence& evidence,
@@ -209,7 +208,6 @@
   bool IsReported(const base::PartId& part) const;
   static base::Millis LastActivity(const Quarantine& quarantine);
   base::Millis NextTrialAt(const Quarantine& quarantine) const;
-  void MarkChanged();
 
   base::HostId self_;
   Hooks hooks_;
--- a/src/kernel/fleet_daemon.cc
+++ b/src/kernel/fleet_daemon.cc
@@ -5,6 +5,8 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "admission/part_exchange.h"
+#include "admission/part_quarantine.h"
 #include "fleet/fleet_state.h"
 #include "http/server.h"
 #include "kernel/registry.h"
@@ -68,6 +70,7 @@
               clock_,
               MeshHooks()),
         health_(HealthHooks()),
+        quarantine_(settings_.host, QuarantineHooks()),
         placer_(clock_,
                 settings_.data_centre,
                 upstreams_,
@@ -232,6 +235,7 @@
           mesh_.PeerReaderStatuses());
       ReportReaderElection();
       DetectStoreRecovery();
+      quarantine_.Tick(now);
       mesh_.Tick();
       upstreams_.Prune(now);
       placer_.DispatchWaiting();
@@ -446,6 +450,14 @@
                             const proto::FleetBeat& heartbeat) {
       routing::ApplyPeerLoads(from, heartbeat, loads_, health_);
     };
+    hooks.part_evidence = [this](bool all) {
+      return admission::CollectPartEvidence(quarantine_, all, clock_.Now());
+    };
+    hooks.has_new_part_evidence = [this] { return quarantine_.has_changes(); };
+    hooks.on_part_evidence = [this](const HostId& from,
+                                    const proto::PartEvidence& evidence) {
+      admission::ApplyPartEvidence(from, evidence, clock_.Now(), quarantine_);
+    };
     hooks.on_peer_down = [this](const HostId& id) {
       loads_.RemovePeerLoads(id);
     };
@@ -467,6 +479,24 @@
             }};
   }
 
+  admission::PartQuarantine::Hooks QuarantineHooks() {
+    admission::PartQuarantine::Hooks hooks;
+    hooks.on_suspected = [](const base::PartId& part,
+                            const UpstreamId& upstream) {
+      Emit(Event::kPartSuspected,
+           {{"part", part.value()}, {"upstream", upstream.value()}});
+    };
+    hooks.on_quarantined = [this](const base::PartId& part, int64_t crashes) {
+      metrics_.Add(telemetry::CounterId::kPartsQuarantined);
+      Emit(Event::kPartQuarantined,
+           {{"part", part.value()}, {"crashes", absl::StrCat(crashes)}});
+    };
+    hooks.on_cleared = [](const base::PartId& part) {
+      Emit(Event::kPartCleared, {{"part", part.value()}});
+    };
+    return hooks;
+  }
+
   migration::Migrator::Hooks MigratorHooks() {
     migration::Migrator::Hooks hooks;
     hooks.choose = [this](const migration::ActiveGeneration& generation,
@@ -507,6 +537,7 @@
   std::unique_ptr<membership::ZmqTransport> transport_;
   routing::LoadTracker loads_;
   routing::UpstreamHealth health_;
+  admission::PartQuarantine quarantine_;
   relay::Placer placer_;
   migration::Migrator migrator_;
   relay::PoolRetryBudget retry_budget_;
--- a/src/membership/mesh.cc
+++ b/src/membership/mesh.cc
@@ -155,6 +155,9 @@
   peer.last_timestamp_at = clock_.Now();
   ApplyUpdates(from, peer, heartbeat);
   hooks_.on_loads(from, heartbeat);
+  if (heartbeat.has_part_evidence()) {
+    hooks_.on_part_evidence(from, heartbeat.part_evidence());
+  }
 }
 
 void Mesh::ApplyUpdates(const HostId& from,
@@ -291,6 +294,8 @@
     for (proto::UpstreamLoad& load : hooks_.loads(true)) {
       *message.mutable_fleet_beat()->add_loads() = std::move(load);
     }
+    *message.mutable_fleet_beat()->mutable_part_evidence() =
+        hooks_.part_evidence(true);
   }
   hooks_.send(to, message);
 }
@@ -313,16 +318,28 @@
                   peer.heartbeats_sent % kHeartbeatsPerFullLoads == 0);
     ++peer.heartbeats_sent;
   }
-  if (now >= next_loads_at_ && hooks_.loads_changed()) {
-    next_loads_at_ = now + kLoadInterval;
-    const std::vector<proto::UpstreamLoad> changed = hooks_.loads(false);
-    for (auto& [name, peer] : peers_) {
-      proto::Envelope message = MakeHeartbeat(peer, false);
-      for (const proto::UpstreamLoad& load : changed) {
-        *message.mutable_fleet_beat()->add_loads() = load;
-      }
-      hooks_.send(name, message);
+  if (now >= next_changes_at_ &&
+      (hooks_.loads_changed() || hooks_.has_new_part_evidence())) {
+    next_changes_at_ = now + kChangeInterval;
+    SendChanges();
+  }
+}
+
+void Mesh::SendChanges() {
+  const std::vector<proto::UpstreamLoad> changed_loads = hooks_.loads(false);
+  std::optional<proto::PartEvidence> evidence;
+  if (hooks_.has_new_part_evidence()) {
+    evidence = hooks_.part_evidence(false);
+  }
+  for (auto& [name, peer] : peers_) {
+    proto::Envelope message = MakeHeartbeat(peer, false);
+    for (const proto::UpstreamLoad& load : changed_loads) {
+      *message.mutable_fleet_beat()->add_loads() = load;
     }
+    if (evidence) {
+      *message.mutable_fleet_beat()->mutable_part_evidence() = *evidence;
+    }
+    hooks_.send(name, message);
   }
 }
 
--- a/src/membership/mesh.h
+++ b/src/membership/mesh.h
@@ -29,10 +29,10 @@
   static constexpr base::Millis kHeartbeatInterval{300};
   /// In a large fleet, the interval is this much times the number of peers.
   static constexpr base::Millis kHeartbeatIntervalPerPeer{8};
-  /// Minimum time between messages with changed loads, so that several changes
-  /// go into one message.
-  static constexpr base::Millis kLoadInterval{60};
-  /// Every this many heartbeats to a peer, one carries all loads.
+  /// Minimum time between messages with changed loads or new evidence, so that
+  /// several changes go into one message.
+  static constexpr base::Millis kChangeInterval{60};
+  /// Every this many heartbeats to a peer, one carries all loads and evidence.
   static constexpr int kHeartbeatsPerFullLoads = 4;
   /// A peer that is silent for longer is down; its loads no longer count.
   static constexpr base::Millis kPeerTimeout{1500};
@@ -55,6 +55,12 @@
     std::function<bool()> loads_changed;
     /// Called with every heartbeat of a peer, with or without loads.
     std::function<void(const base::HostId&, const proto::FleetBeat&)> on_loads;
+    /// Returns what this daemon knows of parts that crash engines: all, or only
+    /// what is new since the last call.
+    std::function<proto::PartEvidence(bool all)> part_evidence;
+    std::function<bool()> has_new_part_evidence;
+    std::function<void(const base::HostId&, const proto::PartEvidence&)>
+        on_part_evidence;
     std::function<void(const base::HostId&)> on_peer_down;
     /// Whether this daemon reads the store.
     std::function<bool()> is_reader;
@@ -130,6 +136,8 @@
   /// all topics. Does nothing shortly after the last pull from the same peer.
   void SendPull(const base::HostId& to, Peer& peer, bool complete);
   void SendHeartbeat(const base::HostId& to, Peer& peer, bool all_loads);
+  /// Sends changed loads and new evidence to all peers.
+  void SendChanges();
   /// Marks silent peers as down and removes those silent for `kForgetAfter`.
   void ExpireSilentPeers();
   /// Adds the sender of a message as a peer if needed and marks it as up. It
@@ -144,7 +152,7 @@
   /// Per topic, the offset after the last record that changed something. Peers
   /// that are complete up to it miss no changes.
   std::array<int64_t, store::kTopicCount> changes_end_{};
-  base::Millis next_loads_at_;
+  base::Millis next_changes_at_;
   bool draining_ = false;
   base::Millis started_at_;
   /// Random, so that timestamps of earlier processes are told apart.
--- a/src/telemetry/events.cc
+++ b/src/telemetry/events.cc
@@ -81,6 +81,9 @@
     EventRow{Event::kRunMoved, Level::kInfo, "run_moved"},
     EventRow{Event::kRunLost, Level::kWarning, "run_lost"},
     EventRow{Event::kRunMoveFailed, Level::kWarning, "run_move_failed"},
+    EventRow{Event::kPartSuspected, Level::kInfo, "part_suspected"},
+    EventRow{Event::kPartQuarantined, Level::kWarning, "part_quarantined"},
+    EventRow{Event::kPartCleared, Level::kInfo, "part_cleared"},
 };
 
 std::atomic<Level> min_level{Level::kInfo};
--- a/src/telemetry/events.h
+++ b/src/telemetry/events.h
@@ -66,6 +66,9 @@
   kRunMoved = 521,
   kRunLost = 522,
   kRunMoveFailed = 523,
+  kPartSuspected = 530,
+  kPartQuarantined = 531,
+  kPartCleared = 532,
 };
 
 /// The severity of an event, lowest first.
--- a/src/telemetry/metrics.cc
+++ b/src/telemetry/metrics.cc
@@ -67,6 +67,9 @@
                "Claims on non-idempotent requests won"},
     CounterRow{CounterId::kOutcomesUnknown, "dandelion_outcomes_unknown_total",
                "Answers with ran unknown"},
+    CounterRow{CounterId::kPartsQuarantined,
+               "dandelion_parts_quarantined_total",
+               "Parts of prompts that were quarantined"},
 };
 
 // Upper bounds in seconds.
--- a/src/telemetry/metrics.h
+++ b/src/telemetry/metrics.h
@@ -28,6 +28,7 @@
   kLogReads,
   kClaimsWon,
   kOutcomesUnknown,
+  kPartsQuarantined,
 };
 
 /// The daemon's metrics.
