--- a/src/telemetry/events.h
+++ b/src/telemetry/events.h
@@ -67,6 +67,9 @@
   kRunLost = 522,
   kRunMoveFailed = 523,
   kRunBroken = 524,
+  kPartSuspected = 530,
+  kPartQuarantined = 531,
+  kPartCleared = 532,
 };
 
 /// The severity of an event, lowest first.
