Close only connections between two requests when a daemon drains

Callers saw: a new connection to a stopping daemon was reset before its first request was read, or while the request was arriving.

A connection counted as idle from its start until the header of its request had been read completely, and a request that was arriving did not keep the daemon from ending.

Change: a connection is idle only between two requests.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -1,5 +1,6 @@
 #include "http/server.h"
 
+#include <algorithm>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
@@ -159,6 +160,7 @@
       co_await handler(*this);
       on_caller_gone_ = nullptr;
       busy_ = false;
+      has_served_ = true;
       if (unresponsive_) {
         co_await WaitForever();
       }
@@ -171,9 +173,12 @@
     stream_.close();
   }
 
-  bool busy() const { return busy_; }
-  /// Whether the next request has begun to arrive.
+  /// Whether a request is arriving or in progress.
+  bool busy() const { return busy_ || receiving_; }
+  /// Whether a request has begun to arrive and is not complete.
   bool receiving() const { return receiving_; }
+  /// Whether the connection is between two requests.
+  bool idle() const { return has_served_ && !busy(); }
   void CloseNow() { stream_.close(); }
 
  private:
@@ -274,6 +279,7 @@
   bool response_started_ = false;
   bool busy_ = false;
   bool receiving_ = false;
+  bool has_served_ = false;
   bool broken_ = false;
   bool unresponsive_ = false;
   bool chunked_ = false;
@@ -338,8 +344,7 @@
 
   void CloseIdle() {
     for (Session* session : sessions_) {
-      if (!session->busy()) {
-        dropped_requests_ += session->receiving() ? 1 : 0;
+      if (session->idle()) {
         session->CloseNow();
       }
     }
@@ -359,8 +364,13 @@
     return count;
   }
 
+  size_t arriving() const {
+    return static_cast<size_t>(std::count_if(
+        sessions_.begin(), sessions_.end(),
+        [](const Session* session) { return session->receiving(); }));
+  }
+
   size_t connections() const { return sessions_.size(); }
-  size_t dropped_requests() const { return dropped_requests_; }
   unsigned short port() const { return port_; }
   void DisableKeepAlive() { close_after_response_ = true; }
   void SetLimits(const ServerLimits& limits) { limits_ = limits; }
@@ -437,7 +447,6 @@
   std::set<Session*> sessions_;
   std::map<asio::ip::address, size_t> sessions_per_address_;
   unsigned short port_ = 0;
-  size_t dropped_requests_ = 0;
   bool close_after_response_ = false;
 };
 
@@ -480,12 +489,12 @@
 size_t Server::in_flight() const {
   return impl_->in_flight();
 }
+size_t Server::arriving() const {
+  return impl_->arriving();
+}
 size_t Server::connections() const {
   return impl_->connections();
 }
-size_t Server::dropped_requests() const {
-  return impl_->dropped_requests();
-}
 
 bool ParseEndpoint(std::string_view text, tcp::endpoint* endpoint) {
   const size_t colon = text.rfind(':');
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -89,17 +89,17 @@
   /// Accepts the connections that are already established, then stops
   /// accepting.
   void StopAccepting();
-  /// Closes connections that have no request in progress.
+  /// Closes the connections that are between two requests. New ones stay open,
+  /// as their first request may be on its way.
   void CloseIdle();
   /// Closes every connection immediately, also during a request.
   void CloseAll();
-  /// Number of requests in progress.
+  /// Number of requests that are arriving or in progress.
   size_t in_flight() const;
+  /// Number of requests that have begun to arrive and are not complete.
+  size_t arriving() const;
   /// Number of open connections.
   size_t connections() const;
-  /// Number of connections that were closed as idle although part of a request
-  /// had been read from them.
-  size_t dropped_requests() const;
 
  private:
   class Impl;
--- a/src/kernel/fleet_daemon.cc
+++ b/src/kernel/fleet_daemon.cc
@@ -148,9 +148,9 @@
       }
     }
     forwarder_.LogUnfinished();
-    if (caller_server_.dropped_requests() > 0) {
+    if (caller_server_.arriving() > 0) {
       Emit(Event::kConnectionsDropped,
-           {{"count", absl::StrCat(caller_server_.dropped_requests())}});
+           {{"count", absl::StrCat(caller_server_.arriving())}});
     }
     Emit(caller_server_.in_flight() == 0 ? Event::kDrainFinished
                                          : Event::kDrainTimedOut,
