Test what dandeliond does with its requests at the end of a drain

Users saw requests of dandeliond-platform lost at a stop. These cases look for the same class of fault in dandeliond, with a short drain timeout.

The case of an operator's drain passes and guards what holds today.

--- a/test/failure-test.cc
+++ b/test/failure-test.cc
@@ -439,6 +439,191 @@
   CHECK(traffic.completed() == traffic.sent());
 }
 
+/// Requests that run beside a test, and their answers by key.
+class Requests {
+ public:
+  explicit Requests(Fleet& fleet) : fleet_(fleet) {}
+
+  void Start(const std::string& host, const std::string& key, Call call) {
+    ++started_;
+    fleet_.Spawn(Run(host, key, std::move(call)));
+  }
+  /// Waits until all have ended.
+  bool Finish() {
+    return fleet_.RunUntil([this] { return answers_.size() == started_; },
+                           Millis(25'000));
+  }
+  const std::map<std::string, Answer>& answers() const { return answers_; }
+
+ private:
+  Task<void> Run(std::string host, std::string key, Call call) {
+    const Answer answer = co_await fleet_.Send(host, call);
+    answers_[key] = answer;
+  }
+
+  Fleet& fleet_;
+  size_t started_ = 0;
+  std::map<std::string, Answer> answers_;
+};
+
+// Returns the requests of a daemon that are in progress at the archive.
+int64_t CountAtArchive(Fleet& fleet, const std::string& host) {
+  const Json status = fleet.GetStatus(host);
+  for (const Json& upstream : status.value("upstreams", Json::array())) {
+    if (upstream.at("id") == "archive-1") {
+      return upstream.at("in_flight");
+    }
+  }
+  return 0;
+}
+
+bool IsDraining(Fleet& fleet, const std::string& host) {
+  return fleet.GetStatus(host).value("readiness", "") == "draining";
+}
+
+// Longer than `kShortDrain`.
+constexpr Millis kLongCall(15'000);
+const Json kShortDrain = {{"drain_timeout_ms", 2000}};
+
+TEST_CASE("a request that outlasts a drain, or waits through it, is answered",
+          "[stop]") {
+  Fleet fleet(Json::object(), kShortDrain);
+  fleet.PublishTablesAndWait();
+  fleet.InjectFault("archive-1", {{"delay_ms", kLongCall.count()}});
+  Requests requests(fleet);
+  constexpr int kCalls = 24;
+  for (int i = 0; i < kCalls; ++i) {
+    const std::string key = absl::StrCat("call-", i);
+    requests.Start("host-1", key, MakeRegistration(key));
+  }
+  REQUIRE(fleet.RunUntil([&] {
+    const Json status = fleet.GetStatus("host-1");
+    const int64_t queued = status.value("queued", 0);
+    return queued > 0 && queued + CountAtArchive(fleet, "host-1") == kCalls;
+  }));
+  fleet.Signal("host-1", SIGTERM);
+  REQUIRE(requests.Finish());
+  CHECK(fleet.Wait("host-1") == 1);
+  fleet.InjectFault("archive-1", {{"delay_ms", 0}});
+  std::string sent;
+  std::string waited;
+  for (const auto& [key, answer] : requests.answers()) {
+    INFO(key << ": " << answer.status << " " << answer.body);
+    const bool not_run = answer.status == 503 && answer.ran == "no";
+    const bool unknown = answer.status == 502 && answer.ran == "unknown";
+    CHECK((not_run || unknown));
+    (not_run ? waited : sent) = key;
+  }
+  REQUIRE_FALSE(sent.empty());
+  REQUIRE_FALSE(waited.empty());
+  CHECK(fleet.SendAndWait("host-2", MakeRegistration(waited)).status == 201);
+  CHECK(fleet.SendAndWait("host-2", MakeRegistration(sent)).ran == "unknown");
+}
+
+TEST_CASE("a request that waits for its duplicate's outcome is answered",
+          "[stop]") {
+  Fleet fleet(Json::object(), kShortDrain);
+  fleet.PublishTablesAndWait();
+  fleet.InjectFault("archive-1", {{"delay_ms", kLongCall.count()}});
+  Requests requests(fleet);
+  requests.Start("host-2", "first", MakeRegistration("key"));
+  REQUIRE(fleet.RunUntil([&] { return CountAtArchive(fleet, "host-2") == 1; }));
+  Requests duplicates(fleet);
+  duplicates.Start("host-1", "second", MakeRegistration("key"));
+  REQUIRE(fleet.RunUntil(
+      [&] { return fleet.GetStatus("host-1").value("in_flight", 0) == 1; }));
+  fleet.Signal("host-1", SIGTERM);
+  REQUIRE(duplicates.Finish());
+  const Answer& answer = duplicates.answers().at("second");
+  CHECK(answer.error_kind == "in_progress");
+  CHECK(answer.ran == "unknown");
+}
+
+TEST_CASE("a complete answer that outlasts a drain ends with an error",
+          "[stop]") {
+  Fleet fleet(Json::object(), kShortDrain);
+  fleet.PublishTablesAndWait();
+  Call call = MakeCompletion("n", 1500, false);
+  call.label = "short";
+  Requests requests(fleet);
+  requests.Start("host-1", "n", call);
+  REQUIRE(fleet.RunUntil([&] { return !FindWorkingEngine(fleet).empty(); }));
+  fleet.Signal("host-1", SIGTERM);
+  REQUIRE(requests.Finish());
+  CHECK(fleet.Wait("host-1") == 1);
+  const Answer& answer = requests.answers().at("n");
+  CHECK(answer.status == 502);
+  CHECK(answer.error_kind == "draining");
+  CHECK(answer.ran == "yes");
+}
+
+TEST_CASE("a stream that outlasts a drain is resumed at another daemon",
+          "[stop]") {
+  Fleet fleet(Json::object(), kShortDrain);
+  fleet.PublishTablesAndWait();
+  constexpr int kTokens = 600;
+  size_t tokens_received = 0;
+  Call call = MakeCompletion("n", kTokens, true);
+  call.on_token = [&tokens_received](size_t tokens) {
+    tokens_received = tokens;
+  };
+  Requests requests(fleet);
+  requests.Start("host-1", "n", call);
+  REQUIRE(fleet.RunUntil([&] { return tokens_received >= 10; }));
+  fleet.Signal("host-1", SIGTERM);
+  REQUIRE(requests.Finish());
+  CHECK(fleet.Wait("host-1") == 1);
+  const Answer& first = requests.answers().at("n");
+  CHECK(first.error_kind == "draining");
+  Call resume = MakeCompletion("n", kTokens, true);
+  resume.last_id = first.last_id;
+  const Answer rest = fleet.SendAndWait("host-4", resume);
+  std::vector<std::string> all = first.tokens;
+  all.insert(all.end(), rest.tokens.begin(), rest.tokens.end());
+  CHECK(all.size() == kTokens);
+  CheckTokens(all, "n");
+}
+
+TEST_CASE("a stopping daemon takes only what ends before its drain does",
+          "[stop]") {
+  Fleet fleet(Json::object(), {{"drain_notice_ms", 4000},
+                               {"drain_timeout_ms", 60'000},
+                               {"request_timeout_ms", 90'000}});
+  fleet.PublishTablesAndWait();
+  fleet.Signal("host-1", SIGTERM);
+  REQUIRE(fleet.RunUntil([&] { return IsDraining(fleet, "host-1"); }));
+  const Answer call = fleet.SendAndWait("host-1", MakeRegistration("key"));
+  CHECK(call.status == 503);
+  CHECK(call.error_kind == "draining");
+  CHECK(call.ran == "no");
+  CHECK(fleet.GetJson("archive-1", "/executions").value("key", 0) == 0);
+  const Answer unlimited =
+      fleet.SendAndWait("host-1", MakeCompletion("u", 3, false));
+  CHECK(unlimited.error_kind == "draining");
+  CHECK(unlimited.ran == "no");
+  Call limited = MakeCompletion("l", 3, false);
+  Json body = Json::parse(limited.body);
+  body["max_tokens"] = 3;
+  limited.body = body.dump();
+  CHECK(fleet.SendAndWait("host-1", limited).status == 200);
+  CHECK(fleet.SendAndWait("host-1", MakeCompletion("s", 3, true)).done);
+  CHECK(fleet.Wait("host-1") == 0);
+}
+
+TEST_CASE("an operator's drain cuts nothing", "[stop]") {
+  Fleet fleet(Json::object(), {{"drain_timeout_ms", 1000}});
+  fleet.PublishTablesAndWait();
+  fleet.InjectFault("archive-1", {{"delay_ms", 3000}});
+  Requests requests(fleet);
+  requests.Start("host-1", "key", MakeRegistration("key"));
+  REQUIRE(fleet.RunUntil([&] { return CountAtArchive(fleet, "host-1") == 1; }));
+  fleet.DrainByOperator("host-1");
+  REQUIRE(requests.Finish());
+  CHECK(requests.answers().at("key").status == 201);
+  fleet.Signal("host-1", SIGTERM);
+  CHECK(fleet.Wait("host-1") == 0);
+}
+
 TEST_CASE("an accepted configuration reaches every daemon within 5 s",
           "[config]") {
   Fleet fleet;
--- a/test/support.cc
+++ b/test/support.cc
@@ -23,6 +23,7 @@
 
 constexpr int kHosts = 4;
 constexpr int kEngines = 4;
+constexpr char kOperatorToken[] = "0123456789abcdef";
 
 std::string DataCentreForIndex(int index) {
   return index <= 2 ? "dc-a" : "dc-b";
@@ -110,7 +111,7 @@
   return call;
 }
 
-Fleet::Fleet(Json engine_options) {
+Fleet::Fleet(const Json& engine_options, const Json& tuning) {
   const int pid = getpid();
   ip_ = absl::StrCat("127.", 1 + pid / 62500 % 250, ".", 1 + pid / 250 % 250,
                      ".", 1 + pid % 250);
@@ -139,10 +140,10 @@
   const std::string keys_json = Json({{"peer_public", keys.public_key},
                                       {"peer_secret", keys.secret_key},
                                       {"resume", std::string(64, 'a')},
-                                      {"operator_token", "0123456789abcdef"}})
+                                      {"operator_token", kOperatorToken}})
                                     .dump();
   for (int i = 1; i <= kHosts; ++i) {
-    AddDaemon(i, keys_json);
+    AddDaemon(i, keys_json, tuning);
   }
   for (const auto& [name, process] : processes_) {
     Start(name);
@@ -168,7 +169,7 @@
                               addresses_[name], options.dump()};
 }
 
-void Fleet::AddDaemon(int index, const std::string& keys) {
+void Fleet::AddDaemon(int index, const std::string& keys, const Json& tuning) {
   const std::string name = absl::StrCat("host-", index);
   Json peers = Json::array();
   for (int i = 1; i <= kHosts; ++i) {
@@ -180,6 +181,10 @@
   }
   addresses_[name] = absl::StrCat(ip_, ":", 8000 + index);
   admin_addresses_[name] = absl::StrCat(ip_, ":", 8100 + index);
+  Json all_tuning = {{"drain_notice_ms", 200},
+                     {"request_timeout_ms", 20'000},
+                     {"stall_timeout_ms", 500}};
+  all_tuning.update(tuning);
   const Json settings = {{"id", name},
                          {"data_centre", DataCentreForIndex(index)},
                          {"listen", addresses_[name]},
@@ -188,10 +193,7 @@
                          {"platform", platform_},
                          {"peers", peers},
                          {"keys", Json::parse(keys)},
-                         {"tuning",
-                          {{"drain_notice_ms", 200},
-                           {"request_timeout_ms", 20'000},
-                           {"stall_timeout_ms", 500}}}};
+                         {"tuning", all_tuning}};
   const std::string path = absl::StrCat(directory_, "/", name, ".json");
   std::ofstream(path) << settings.dump();
   processes_[name].command = {DANDELION_BUILD "/dandeliond", "--settings",
@@ -364,6 +366,21 @@
   return GetJson(name, "/record");
 }
 
+void Fleet::DrainByOperator(const std::string& host) {
+  http::Request request;
+  request.method = "POST";
+  request.target = "/drain";
+  request.headers.Add("Authorization", absl::StrCat("Bearer ", kOperatorToken));
+  boost::asio::ip::tcp::endpoint endpoint;
+  http::ParseEndpoint(admin_addresses_.at(host), &endpoint);
+  http::Client client;
+  const http::FetchResult result =
+      Await(client.Fetch(endpoint, request, http::FetchLimits()));
+  if (!result.response.ok() || result.response->status != 202) {
+    throw std::runtime_error("the daemon did not accept the drain");
+  }
+}
+
 Json Fleet::GetStatus(const std::string& host) {
   return GetJson(host, "/status");
 }
--- a/test/support.h
+++ b/test/support.h
@@ -62,8 +62,9 @@
 class Fleet {
  public:
   /// Starts all processes. `engine_options` overrides options of the engine
-  /// stand-ins.
-  explicit Fleet(Json engine_options = Json::object());
+  /// stand-ins, `tuning` the tuning of the daemons.
+  explicit Fleet(const Json& engine_options = Json::object(),
+                 const Json& tuning = Json::object());
   ~Fleet();
   Fleet(const Fleet&) = delete;
   Fleet& operator=(const Fleet&) = delete;
@@ -90,6 +91,8 @@
   /// Fetches JSON from a stand-in, or from the admin server of a daemon.
   /// Returns an empty object if there is no response.
   Json GetJson(const std::string& name, const std::string& path);
+  /// Drains a daemon as an operator does, at its admin server.
+  void DrainByOperator(const std::string& host);
   /// Returns the /status of a daemon; an empty object if it does not respond.
   Json GetStatus(const std::string& host);
 
@@ -118,7 +121,7 @@
                   const std::string& role,
                   int port,
                   Json options);
-  void AddDaemon(int index, const std::string& keys);
+  void AddDaemon(int index, const std::string& keys, const Json& tuning);
   static pid_t Launch(const std::vector<std::string>& command,
                       const std::string& log);
   template <typename T>
