Take and send during a drain only what ends before it

What callers saw: a stopping dandeliond took any request and sent waiting ones late into its drain; when the drain timed out, they were cut without an answer, keyed calls with their claim held.

Cause: nothing compared the time a request may take with the time left.

Fix: the daemon has one StopDeadline. Each request has its longest run: its deadline for a plain call, also its output limit at a slow token time for a complete answer, the first token for a stream, because another daemon resumes it from there. The bound is asked when a request is taken and again in Dispatcher::Place, which every send and retry goes through right before it; calls that wait for a slot are rejected, and their claims released, as soon as they no longer fit. 500 ms at the end are kept for answers and claims.

An operator's drain has no end at which the process is gone, so it sets no deadline and no longer reports cuts that do not happen; a second drain order does nothing, and SIGTERM takes over.

Evidence: failure-test [stop].

The first case now waits until calls are both sent and queued; before, it could start the drain with none sent.

--- a/src/base/error.cc
+++ b/src/base/error.cc
@@ -28,6 +28,7 @@
             absl::StatusCode::kResourceExhausted},
     KindRow{ErrorKind::kNoUpstream, "no_upstream",
             absl::StatusCode::kUnavailable},
+    KindRow{ErrorKind::kDraining, "draining", absl::StatusCode::kUnavailable},
     KindRow{ErrorKind::kConnectFailed, "connect_failed",
             absl::StatusCode::kUnavailable},
     KindRow{ErrorKind::kConnectionLost, "connection_lost",
--- a/src/base/error.h
+++ b/src/base/error.h
@@ -15,6 +15,7 @@
   kNotReady,
   kOverloaded,
   kNoUpstream,
+  kDraining,
   kConnectFailed,
   kConnectionLost,
   kTimeout,
--- a/src/entry/request_handler.cc
+++ b/src/entry/request_handler.cc
@@ -32,6 +32,10 @@
 constexpr size_t kPrefixBytes = 1024;
 // Largest answer in bytes that is collected in memory.
 constexpr size_t kMaxBufferedBytes = 32UL * 1024 * 1024;
+// Longest time per token of a generation on a loaded engine.
+constexpr Millis kLongestTokenTime{100};
+// Retry-After in seconds for a request that another daemon can serve now.
+constexpr int64_t kRetryElsewhereSeconds = 1;
 
 std::string DumpJson(const json& value) {
   return value.dump(-1, ' ', false, json::error_handler_t::replace);
@@ -61,6 +65,8 @@
     case ErrorKind::kBadAnswer:
     case ErrorKind::kOutcomeUnknown:
       return 502;
+    case ErrorKind::kDraining:
+      return ran == Ran::kNo ? 503 : 502;
     default:
       return ran == Ran::kUnknown ? 502 : 503;
   }
@@ -228,6 +234,13 @@
     co_return;
   }
   incoming->work.id = id;
+  incoming->work.longest_run = LongestRun(request, *incoming);
+  const absl::Status taken = dispatcher_.CheckStop(incoming->work);
+  if (!taken.ok()) {
+    co_await RespondWithError(exchange, id, taken, Ran::kNo,
+                              kRetryElsewhereSeconds);
+    co_return;
+  }
   if (incoming->pool_kind == config::PoolKind::kService) {
     co_await RelayServiceCall(exchange, *std::move(incoming));
   } else if (request.headers.Has("Last-Event-ID")) {
@@ -237,10 +250,32 @@
   }
 }
 
+bool RequestHandler::IsStream(const IncomingRequest& incoming) {
+  return incoming.wants_stream &&
+         incoming.work.route.delivery == config::Delivery::kStream;
+}
+
+Millis RequestHandler::LongestRun(const http::Request& request,
+                                  const IncomingRequest& incoming) const {
+  if (incoming.pool_kind == config::PoolKind::kService) {
+    return tuning_.request_timeout;
+  }
+  // From its first token on, a stream can be resumed at another daemon.
+  if (IsStream(incoming) || request.headers.Has("Last-Event-ID")) {
+    return tuning_.first_token_timeout;
+  }
+  if (incoming.max_tokens <= base::Tokens(0)) {
+    return tuning_.request_timeout;
+  }
+  // More tokens than that take longer than any request may.
+  const int64_t tokens =
+      std::min(incoming.max_tokens.count(), tuning_.request_timeout.count());
+  return tuning_.first_token_timeout + kLongestTokenTime * tokens;
+}
+
 Task<void> RequestHandler::RelayGeneration(http::Exchange& exchange,
                                            IncomingRequest incoming) {
-  if (incoming.wants_stream &&
-      incoming.work.route.delivery == config::Delivery::kStream) {
+  if (IsStream(incoming)) {
     co_await StreamGeneration(exchange, std::move(incoming));
   } else {
     co_await BufferGeneration(exchange, std::move(incoming));
@@ -500,6 +535,8 @@
     case ErrorKind::kClaimUnavailable:
     case ErrorKind::kInProgress:
       return dispatcher_.RetryAfterSeconds(work);
+    case ErrorKind::kDraining:
+      return kRetryElsewhereSeconds;
     default:
       return 0;
   }
--- a/src/entry/request_handler.h
+++ b/src/entry/request_handler.h
@@ -47,6 +47,11 @@
 
   absl::StatusOr<IncomingRequest> ParseRequest(
       const http::Request& request) const;
+  /// Whether the answer is sent as a stream of tokens.
+  static bool IsStream(const IncomingRequest& incoming);
+  /// Returns the value of `PlacementRequest::longest_run`.
+  base::Millis LongestRun(const http::Request& request,
+                          const IncomingRequest& incoming) const;
   /// Answers a completion request, as a stream if the caller and the route want
   /// one.
   base::Task<void> RelayGeneration(http::Exchange& exchange,
--- a/src/kernel/daemon.cc
+++ b/src/kernel/daemon.cc
@@ -1,10 +1,12 @@
 #include "kernel/daemon.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "admission/slot_service.h"
+#include "admission/stop_deadline.h"
 #include "base/error.h"
 #include "claims/claim_service.h"
 #include "config/config_service.h"
@@ -77,6 +79,7 @@
                     clock_,
                     slots_.holder(),
                     membership_,
+                    stop_deadline_,
                     settings_.tuning.queue_per_organisation,
                     {[this] { slots_.RequestRound(); }}),
         claims_(executor,
@@ -124,34 +127,31 @@
   void Stop() { registry_.Stop(); }
 
   Task<bool> Drain() {
-    const Tuning& tuning = settings_.tuning;
-    draining_ = true;
-    membership_.SetDraining();
-    entry_server_.DisableKeepAlive();
-    Emit(Event::kDrainStarted,
-         {{"in_flight", absl::StrCat(entry_server_.in_flight())}});
-    const Millis drain_deadline = clock_.Now() + tuning.drain_timeout;
-    // Gives the load balancer time to notice that readiness has failed.
-    co_await base::SleepFor(tuning.drain_notice);
-    entry_server_.StopAccepting();
-    Millis idle_since = clock_.Now();
-    while (clock_.Now() - idle_since < kIdleBeforeStop) {
-      if (clock_.Now() >= drain_deadline) {
+    const Millis started = clock_.Now();
+    const Millis notice_end = started + settings_.tuning.drain_notice;
+    const Millis end = started + settings_.tuning.drain_timeout;
+    stop_deadline_.Set(std::max(started, end - kFinalAnswerTime));
+    StartDraining();
+    Millis idle_since = started;
+    for (;;) {
+      co_await base::SleepFor(kDrainCheckInterval);
+      const Millis now = clock_.Now();
+      if (now >= notice_end) {
+        entry_server_.StopAccepting();
+      }
+      const bool idle = now >= notice_end && IsIdle();
+      idle_since = idle ? idle_since : now;
+      if (idle && (now - idle_since >= kIdleBeforeStop ||
+                   entry_server_.connections() == 0)) {
+        Emit(Event::kDrainFinished);
+        co_return true;
+      }
+      if (now >= end) {
         Emit(Event::kDrainTimedOut,
              {{"cut", absl::StrCat(entry_server_.in_flight())}});
         co_return false;
       }
-      co_await base::SleepFor(kDrainCheckInterval);
-      const bool idle =
-          entry_server_.in_flight() == 0 && claims_.HasNoPendingAppends();
-      if (!idle) {
-        idle_since = clock_.Now();
-      } else if (entry_server_.connections() == 0) {
-        break;
-      }
     }
-    Emit(Event::kDrainFinished);
-    co_return true;
   }
 
  private:
@@ -159,6 +159,9 @@
   // connections may still carry a new request.
   static constexpr Millis kIdleBeforeStop{500};
   static constexpr Millis kDrainCheckInterval{20};
+  // The part of `Tuning::drain_timeout` at its end in which nothing is in
+  // progress any more but final answers and outcomes of claims.
+  static constexpr Millis kFinalAnswerTime{500};
   static constexpr Millis kHostListInterval{1000};
 
   void AddServices() {
@@ -375,7 +378,33 @@
     return hooks;
   }
 
-  Task<void> DrainByOperator() { co_await Drain(); }
+  void StartDraining() {
+    draining_ = true;
+    membership_.SetDraining();
+    entry_server_.DisableKeepAlive();
+    Emit(Event::kDrainStarted,
+         {{"in_flight", absl::StrCat(entry_server_.in_flight())}});
+  }
+
+  bool IsIdle() const {
+    return entry_server_.in_flight() == 0 && claims_.HasNoPendingAppends();
+  }
+
+  // Has no deadline, because the process goes on. SIGTERM takes over from it.
+  Task<void> DrainByOperator() {
+    if (draining_) {
+      co_return;
+    }
+    StartDraining();
+    co_await base::SleepFor(settings_.tuning.drain_notice);
+    entry_server_.StopAccepting();
+    while (!IsIdle() && !stop_deadline_.is_set()) {
+      co_await base::SleepFor(kDrainCheckInterval);
+    }
+    if (!stop_deadline_.is_set()) {
+      Emit(Event::kDrainFinished);
+    }
+  }
 
   entry::Readiness CurrentReadiness() const {
     const std::shared_ptr<const config::Tables> tables = config_.tables();
@@ -534,6 +563,7 @@
   config::ConfigService config_;
   membership::Membership membership_;
   upstream::EngineClient engines_;
+  admission::StopDeadline stop_deadline_;
   admission::SlotService slots_;
   routing::Dispatcher dispatcher_;
   claims::ClaimService claims_;
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -42,7 +42,7 @@
   base::Millis drain_timeout = base::Millis(60'000);
   /// Longest time to serve a request; callers may ask for less.
   base::Millis request_timeout = base::Millis(600'000);
-  /// Parsed but not used.
+  /// Longest wait for a generation's first token.
   base::Millis first_token_timeout = base::Millis(30'000);
   /// A generation's connection to its engine is resumed after this silence.
   base::Millis stall_timeout = base::Millis(1500);
--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -67,15 +67,28 @@
                        base::Clock clock,
                        SlotHolder& slots,
                        membership::Membership& membership,
+                       const admission::StopDeadline& stop_deadline,
                        size_t queue_per_organisation,
                        Hooks hooks)
     : executor_(std::move(executor)),
       clock_(std::move(clock)),
       slots_(slots),
       membership_(membership),
+      stop_deadline_(stop_deadline),
       queue_per_organisation_(queue_per_organisation),
       hooks_(std::move(hooks)) {}
 
+absl::Status Dispatcher::CheckStop(const PlacementRequest& request) const {
+  const Millis now = clock_.Now();
+  const Millis longest = std::min(request.longest_run, request.deadline - now);
+  if (stop_deadline_.Allows(longest, now)) {
+    return absl::OkStatus();
+  }
+  return base::MakeError(ErrorKind::kDraining,
+                         "the daemon stops before the request must end",
+                         "send the request to another daemon");
+}
+
 void Dispatcher::OnTables(std::shared_ptr<const config::Tables> tables) {
   tables_ = std::move(tables);
   std::erase_if(models_, [this](const auto& entry) {
@@ -205,6 +218,10 @@
                      " is in service"),
         "return upstreams or data centres to service, or add more");
   }
+  absl::Status stop_check = CheckStop(request);
+  if (!stop_check.ok()) {
+    co_return stop_check;
+  }
   PoolQueue& queue = FindOrAddQueue(request.route.pool);
   if (queue.waiters.size() == 0) {
     if (std::unique_ptr<SlotPlacement> placement = TryPlace(request)) {
@@ -241,7 +258,8 @@
   };
   explanations_.AddLine(request.id, "queued: no upstream can take it now");
   hooks_.request_slots();
-  while (!pending.placement && clock_.Now() < request.deadline) {
+  while (!pending.placement && stop_check.ok() &&
+         clock_.Now() < request.deadline) {
     // Reports and predictions change without triggering a dispatch.
     constexpr Millis kDispatchInterval(100);
     co_await base::SleepOnTimer(timer, kDispatchInterval);
@@ -249,6 +267,10 @@
       DispatchWaiting();
       hooks_.request_slots();
     }
+    stop_check = CheckStop(request);
+  }
+  if (!stop_check.ok()) {
+    co_return stop_check;
   }
   if (!pending.placement) {
     co_return base::MakeError(ErrorKind::kTimeout,
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -10,6 +10,7 @@
 #include "admission/fair_queue.h"
 #include "admission/length_model.h"
 #include "admission/slot_holder.h"
+#include "admission/stop_deadline.h"
 #include "base/clock.h"
 #include "base/ids.h"
 #include "base/task.h"
@@ -31,6 +32,9 @@
   uint64_t prefix = 0;
   /// By this host's clock.
   base::Millis deadline;
+  /// Longest time from the send to an upstream until a stop of this daemon no
+  /// longer loses the request; the deadline may end it earlier.
+  base::Millis longest_run;
   /// Upstreams that must not be chosen.
   std::set<base::UpstreamId> excluded;
 };
@@ -88,6 +92,7 @@
              base::Clock clock,
              admission::SlotHolder& slots,
              membership::Membership& membership,
+             const admission::StopDeadline& stop_deadline,
              size_t queue_per_organisation,
              Hooks hooks);
 
@@ -97,10 +102,14 @@
   ///   leaving nor excluded,
   /// - `kOverloaded` if the organisation's queue is full or the predicted wait
   ///   ends after the deadline,
-  /// - `kTimeout` if the deadline passes while the request waits.
+  /// - `kTimeout` if the deadline passes while the request waits,
+  /// - `kDraining` as `CheckStop` does, also while the request waits.
   base::Task<absl::StatusOr<std::unique_ptr<SlotPlacement>>> Place(
       PlacementRequest request);
 
+  /// Fails with `kDraining` if the daemon is stopping and the request, sent
+  /// now, might not end in time.
+  absl::Status CheckStop(const PlacementRequest& request) const;
   /// Replaces the tables and tries the waiting requests.
   void OnTables(std::shared_ptr<const config::Tables> tables);
   /// Places waiting requests; to be called whenever slots may have become free.
@@ -173,6 +182,7 @@
   base::Clock clock_;
   admission::SlotHolder& slots_;
   membership::Membership& membership_;
+  const admission::StopDeadline& stop_deadline_;
   size_t queue_per_organisation_;
   Hooks hooks_;
   std::shared_ptr<const config::Tables> tables_;
--- a/test/failure-test.cc
+++ b/test/failure-test.cc
@@ -499,7 +499,8 @@
   REQUIRE(fleet.RunUntil([&] {
     const Json status = fleet.GetStatus("host-1");
     const int64_t queued = status.value("queued", 0);
-    return queued > 0 && queued + CountAtArchive(fleet, "host-1") == kCalls;
+    const int64_t sent = CountAtArchive(fleet, "host-1");
+    return queued > 0 && sent > 0 && queued + sent == kCalls;
   }));
   fleet.Signal("host-1", SIGTERM);
   REQUIRE(requests.Finish());
