Answer everything before a timed-out drain ends the process

What callers saw: when the drain of dandeliond timed out, calls, complete answers and requests that waited for their duplicate's outcome got no answer, streams broke off, and keyed calls left a claim whose claimant was gone, so that duplicates elsewhere waited for its timeout.

Cause: the drain gave up on its requests by ending the process. Same class as the requests taken too late: held to the end without being answered.

Each request then ends on its usual path: a call that may have run as unknown, with its claim's outcome in the log; one that was not sent as not run, with its claim released; a complete answer as draining with its generation cancelled; a stream that has begun with an error event, and its generation goes on for the daemon that resumes it. Requests that wait for a claim stop waiting. Nothing is retried or reconnected any more. The process ends once all have answered and the claims' steps are appended.

--- a/src/claims/claim_service.cc
+++ b/src/claims/claim_service.cc
@@ -119,8 +119,8 @@
 Task<bool> ClaimService::AppendClaim(const ClaimStep& step) {
   const auto wait = std::make_shared<PendingAppend>(executor_);
   Enqueue(step, wait);
-  while (!wait->done) {
-    co_await base::SleepOnTimer(wait->timer, kReadInterval);
+  while (!wait->done && hooks_.may_wait()) {
+    co_await base::SleepOnTimer(wait->timer, kOutcomePollInterval);
   }
   if (!wait->appended) {
     co_return false;
@@ -138,7 +138,7 @@
   step.incarnation = incarnation_;
   step.fingerprint = fingerprint;
   ClaimResult result;
-  while (clock_.Now() < deadline) {
+  while (clock_.Now() < deadline && hooks_.may_wait()) {
     if (!caught_up_) {
       const bool read = co_await CatchUp();
       if (!read) {
@@ -196,7 +196,7 @@
   Millis claimant_seen_at = started;
   ClaimResult result;
   result.attempt = attempt;
-  while (clock_.Now() < deadline) {
+  while (clock_.Now() < deadline && hooks_.may_wait()) {
     const Claim* current_claim = claim_table_.Find(identity);
     if (current_claim == nullptr || current_claim->winner.attempt != attempt) {
       co_return result;
--- a/src/claims/claim_service.h
+++ b/src/claims/claim_service.h
@@ -29,7 +29,7 @@
     kDone,
     /// A duplicate may have run, and its answer is not available.
     kUnknown,
-    /// The deadline passed before the outcome of a duplicate was known.
+    /// The wait ended before the outcome of a duplicate was known.
     kInProgress,
     /// A request with another fingerprint used the same identity.
     kKeyReused,
@@ -68,6 +68,8 @@
     /// Called after each request to the log, for the metrics: true for an
     /// append, false for a read.
     std::function<void(bool append)> on_log_request;
+    /// Whether requests may go on waiting. False at the end of a stop.
+    std::function<bool()> may_wait;
     /// If false, every claim that was appended wins, whatever its place in the
     /// log. For tests that must detect requests that run twice.
     bool waits_for_log_order = true;
@@ -86,8 +88,8 @@
   /// Whether no append is queued or under way.
   bool HasNoPendingAppends() const { return !appending_; }
 
-  /// Claims `identity`, or waits until `deadline` for the outcome of the
-  /// attempt that holds it.
+  /// Claims `identity`, or waits until `deadline`, or until requests may no
+  /// longer wait, for the outcome of the attempt that holds it.
   base::Task<ClaimResult> Acquire(std::string identity,
                                   std::string fingerprint,
                                   base::Millis deadline);
--- a/src/entry/request_handler.cc
+++ b/src/entry/request_handler.cc
@@ -334,10 +334,13 @@
         absl::StrCat("event: error\ndata: ", DumpJson(problem), "\n\n");
     co_await exchange.Write(event);
     co_await exchange.Finish();
-    Emit(Event::kGenerationLost,
-         {{"request", id.value()},
-          {"organisation", incoming.work.organisation.value()}});
+    if (base::KindOf(result.status) != ErrorKind::kDraining) {
+      Emit(Event::kGenerationLost,
+           {{"request", id.value()},
+            {"organisation", incoming.work.organisation.value()}});
+    }
   }
+  LogIfCut(incoming, result.status, result.ran, started);
 }
 
 Task<void> RequestHandler::BufferGeneration(http::Exchange& exchange,
@@ -367,6 +370,7 @@
                               "the answer exceeds the size limit",
                               "request the answer as a stream")
                   : result.status;
+    LogIfCut(incoming, status, result.ran, false);
     co_await RespondWithError(exchange, id, status, result.ran,
                               ComputeRetryAfter(status, incoming.work));
     co_return;
@@ -450,6 +454,7 @@
     co_await exchange.Write(event);
     co_await exchange.Finish();
   }
+  LogIfCut(incoming, result.status, result.ran, started);
 }
 
 Task<void> RequestHandler::RelayServiceCall(http::Exchange& exchange,
@@ -465,6 +470,7 @@
   relay::ServiceResult result = co_await service_relay_.Run(std::move(call));
   const base::RequestId& id = incoming.work.id;
   if (!result.response.ok()) {
+    LogIfCut(incoming, result.response.status(), result.ran, false);
     co_await RespondWithError(
         exchange, id, result.response.status(), result.ran,
         ComputeRetryAfter(result.response.status(), incoming.work));
@@ -526,6 +532,20 @@
   co_await exchange.Respond(std::move(response));
 }
 
+void RequestHandler::LogIfCut(const IncomingRequest& incoming,
+                              const absl::Status& status,
+                              Ran ran,
+                              bool answering) {
+  if (base::KindOf(status) != ErrorKind::kDraining || ran == Ran::kNo) {
+    return;
+  }
+  Emit(Event::kRequestCut,
+       {{"request", incoming.work.id.value()},
+        {"organisation", incoming.work.organisation.value()},
+        {"age_ms", absl::StrCat((clock_.Now() - incoming.received_at).count())},
+        {"answering", answering ? "1" : "0"}});
+}
+
 int64_t RequestHandler::ComputeRetryAfter(
     const absl::Status& status,
     const routing::PlacementRequest& work) const {
--- a/src/entry/request_handler.h
+++ b/src/entry/request_handler.h
@@ -68,6 +68,11 @@
   /// Relays a request to an upstream of a service pool.
   base::Task<void> RelayServiceCall(http::Exchange& exchange,
                                     IncomingRequest incoming);
+  /// Logs the request if the end of a stop cut it after it was sent.
+  void LogIfCut(const IncomingRequest& incoming,
+                const absl::Status& status,
+                base::Ran ran,
+                bool answering);
   /// Sends problem details; `retry_after_s` in seconds, 0 for no header.
   base::Task<void> RespondWithError(http::Exchange& exchange,
                                     const base::RequestId& id,
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -8,6 +8,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "base/error.h"
+#include "http/connection_group.h"
 
 namespace dandelion::http {
 namespace {
@@ -145,6 +146,11 @@
 Task<absl::StatusOr<Response>> SendAndReadResponse(Connection& connection,
                                                    const Request& request,
                                                    const FetchLimits& limits) {
+  const GroupMember member(limits.group, connection);
+  if (member.closed()) {
+    co_return MakeError(ErrorKind::kConnectionLost, "the connection was closed",
+                        "send the request again");
+  }
   const absl::Status sent =
       co_await connection.Send(request, limits.response_timeout);
   if (!sent.ok()) {
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -48,6 +48,8 @@
     boost::asio::ip::tcp::endpoint endpoint,
     base::Millis timeout);
 
+class ConnectionGroup;
+
 /// Limits of one `Client::Fetch`.
 struct FetchLimits {
   base::Millis connect_timeout = base::Millis(500);
@@ -59,6 +61,8 @@
   /// request that must not be retried: the server may have closed an idle
   /// connection, and a send on it would fail with an unknown outcome.
   bool new_connection = false;
+  /// The group that the connection is in during the fetch; null for none.
+  ConnectionGroup* group = nullptr;
 };
 
 /// The response to a fetch. If `may_have_been_sent` is false, no byte of the
--- a/src/kernel/daemon.cc
+++ b/src/kernel/daemon.cc
@@ -13,6 +13,7 @@
 #include "entry/admin_handler.h"
 #include "entry/request_handler.h"
 #include "http/client.h"
+#include "http/connection_group.h"
 #include "http/server.h"
 #include "kernel/registry.h"
 #include "membership/membership.h"
@@ -73,7 +74,7 @@
                     MembersOf(settings_),
                     clock_,
                     MembershipHooks()),
-        engines_(client_, settings_.id),
+        engines_(client_, caller_sends_, settings_.id),
         slots_(executor, clock_, membership_, SlotHooks()),
         dispatcher_(executor,
                     clock_,
@@ -91,10 +92,17 @@
         resume_tokens_(settings_.keys.resume_key),
         generation_relay_(clock_,
                           settings_.tuning,
+                          stop_deadline_,
                           dispatcher_,
                           engines_,
                           metrics_),
-        service_relay_(clock_, dispatcher_, client_, claims_, metrics_),
+        service_relay_(clock_,
+                       stop_deadline_,
+                       dispatcher_,
+                       client_,
+                       caller_sends_,
+                       claims_,
+                       metrics_),
         request_handler_(clock_,
                          settings_.tuning,
                          resume_tokens_,
@@ -133,25 +141,33 @@
     stop_deadline_.Set(std::max(started, end - kFinalAnswerTime));
     StartDraining();
     Millis idle_since = started;
+    size_t cut = 0;
     for (;;) {
       co_await base::SleepFor(kDrainCheckInterval);
       const Millis now = clock_.Now();
-      if (now >= notice_end) {
+      const bool over = stop_deadline_.TimeLeft(now) == Millis(0);
+      if (over || now >= notice_end) {
         entry_server_.StopAccepting();
       }
-      const bool idle = now >= notice_end && IsIdle();
-      idle_since = idle ? idle_since : now;
-      if (idle && (now - idle_since >= kIdleBeforeStop ||
-                   entry_server_.connections() == 0)) {
-        Emit(Event::kDrainFinished);
-        co_return true;
+      if (over && !caller_sends_.closed()) {
+        // What is still in progress answers with an error now.
+        cut = entry_server_.in_flight();
+        caller_sends_.Close();
       }
-      if (now >= end) {
-        Emit(Event::kDrainTimedOut,
-             {{"cut", absl::StrCat(entry_server_.in_flight())}});
-        co_return false;
+      const bool idle = (over || now >= notice_end) && IsIdle();
+      idle_since = idle ? idle_since : now;
+      const bool finished =
+          idle && (over || now - idle_since >= kIdleBeforeStop ||
+                   entry_server_.connections() == 0);
+      if (finished || now >= end) {
+        break;
       }
     }
+    const bool complete = cut == 0 && IsIdle();
+    Emit(complete ? Event::kDrainFinished : Event::kDrainTimedOut,
+         {{"cut", absl::StrCat(cut)},
+          {"unanswered", absl::StrCat(entry_server_.in_flight())}});
+    co_return complete;
   }
 
  private:
@@ -358,6 +374,9 @@
       Send(to, message);
     };
     hooks.is_up = [this](const HostId& host) { return membership_.IsUp(host); };
+    hooks.may_wait = [this] {
+      return stop_deadline_.TimeLeft(clock_.Now()) != Millis(0);
+    };
     hooks.on_log_request = [this](bool append) {
       metrics_.Add(append ? CounterId::kLogAppends : CounterId::kLogReads);
     };
@@ -557,6 +576,8 @@
   base::Incarnation incarnation_;
   telemetry::Metrics metrics_;
   http::Client client_;
+  /// Connections on which callers' requests are sent to upstreams.
+  http::ConnectionGroup caller_sends_;
   std::unique_ptr<platform_client::Log> log_;
   std::unique_ptr<platform_client::HostList> host_list_;
   std::unique_ptr<membership::ZmqTransport> transport_;
--- a/src/relay/generation_relay.cc
+++ b/src/relay/generation_relay.cc
@@ -37,13 +37,25 @@
   Millis stall;
 };
 
+namespace {
+
+absl::Status StoppedError() {
+  return base::MakeError(
+      ErrorKind::kDraining, "the daemon stopped before the answer was complete",
+      "resume the stream, or send the request again, at another daemon");
+}
+
+}  // namespace
+
 GenerationRelay::GenerationRelay(base::Clock clock,
                                  const kernel::Tuning& tuning,
+                                 const admission::StopDeadline& stop_deadline,
                                  routing::Dispatcher& dispatcher,
                                  upstream::EngineClient& engines,
                                  telemetry::Metrics& metrics)
     : clock_(std::move(clock)),
       tuning_(tuning),
+      stop_deadline_(stop_deadline),
       dispatcher_(dispatcher),
       engines_(engines),
       metrics_(metrics) {}
@@ -53,6 +65,20 @@
   dispatcher_.explanations().AddLine(work.id, std::move(line));
 }
 
+bool GenerationRelay::IsStopOver() const {
+  return stop_deadline_.TimeLeft(clock_.Now()) == Millis(0);
+}
+
+Task<void> GenerationRelay::Cancel(const Progress& progress) {
+  Task<void> cancel =
+      engines_.Cancel(progress.engine, progress.point.generation);
+  if (IsStopOver()) {
+    base::Spawn(co_await boost::asio::this_coro::executor, std::move(cancel));
+  } else {
+    co_await std::move(cancel);
+  }
+}
+
 Task<RelayResult> GenerationRelay::Run(GenerationCall call,
                                        TokenSink sink,
                                        std::function<void()> restart) {
@@ -158,9 +184,19 @@
     result.ran = Ran::kYes;
     co_return result;
   }
+  if (end == ReadEnd::kStopped) {
+    *retry = false;
+    result.ran = Ran::kYes;
+    result.status = StoppedError();
+    const bool resumable = progress.next > 0 && !call.restartable;
+    if (!resumable) {
+      co_await Cancel(progress);
+    }
+    co_return result;
+  }
   (*placement)->SetOutcome(SlotHolder::RequestOutcome::kFailure);
   if (opened.may_have_been_sent && !opened.rejected) {
-    co_await engines_.Cancel(progress.engine, progress.point.generation);
+    co_await Cancel(progress);
   }
   if (end == ReadEnd::kDeadline) {
     *retry = false;
@@ -176,6 +212,10 @@
         absl::StrCat("the generation on ", upstream.id.value(), " was lost"),
         "send the request again for a new answer");
   }
+  if (IsStopOver()) {
+    *retry = false;
+    result.status = StoppedError();
+  }
   co_return result;
 }
 
@@ -183,11 +223,11 @@
     Progress& progress,
     const TokenSink& sink) {
   Millis read_timeout = tuning_.stall_timeout;
-  while (clock_.Now() < progress.work->deadline) {
+  while (clock_.Now() < progress.work->deadline && !IsStopOver()) {
     if (progress.stream == nullptr) {
       const bool reconnected = co_await Reconnect(progress);
       if (!reconnected) {
-        co_return ReadEnd::kLost;
+        co_return IsStopOver() ? ReadEnd::kStopped : ReadEnd::kLost;
       }
     }
     absl::StatusOr<upstream::TokenBatch> batch =
@@ -224,12 +264,13 @@
       co_return ReadEnd::kDone;
     }
   }
-  co_return ReadEnd::kDeadline;
+  co_return IsStopOver() ? ReadEnd::kStopped : ReadEnd::kDeadline;
 }
 
 Task<bool> GenerationRelay::Reconnect(Progress& progress) {
   const Millis give_up = clock_.Now() + kUnreachableTimeout;
-  while (clock_.Now() < give_up && clock_.Now() < progress.work->deadline) {
+  while (clock_.Now() < give_up && clock_.Now() < progress.work->deadline &&
+         !IsStopOver()) {
     upstream::OpenResult opened = co_await engines_.Resume(
         progress.engine, progress.point.generation, progress.next);
     if (opened.unknown_generation) {
@@ -334,6 +375,8 @@
     result.status =
         base::MakeError(ErrorKind::kTimeout, "the request's time is over",
                         "allow more time for long answers");
+  } else if (end == ReadEnd::kStopped) {
+    result.status = StoppedError();
   } else if (end == ReadEnd::kCallerGone) {
     result.status = base::MakeError(ErrorKind::kConnectionLost,
                                     "the caller has gone", "resume the stream");
--- a/src/relay/generation_relay.h
+++ b/src/relay/generation_relay.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "absl/status/status.h"
+#include "admission/stop_deadline.h"
 #include "base/clock.h"
 #include "base/error.h"
 #include "base/ids.h"
@@ -60,6 +61,7 @@
 
   GenerationRelay(base::Clock clock,
                   const kernel::Tuning& tuning,
+                  const admission::StopDeadline& stop_deadline,
                   routing::Dispatcher& dispatcher,
                   upstream::EngineClient& engines,
                   telemetry::Metrics& metrics);
@@ -79,7 +81,7 @@
 
  private:
   struct Progress;
-  enum class ReadEnd { kDone, kLost, kCallerGone, kDeadline };
+  enum class ReadEnd { kDone, kLost, kCallerGone, kDeadline, kStopped };
 
   /// Delivers tokens until the generation has ended or can't be continued.
   base::Task<ReadEnd> ReadToEnd(Progress& progress, const TokenSink& sink);
@@ -98,11 +100,17 @@
                                   const TokenSink& sink,
                                   bool* retry,
                                   base::UpstreamId* used);
+  /// Whether a stop of the daemon leaves time for final answers only.
+  bool IsStopOver() const;
+  /// Asks the engine to stop a generation. At the end of a stop, does not wait
+  /// until it has done so.
+  base::Task<void> Cancel(const Progress& progress);
   /// Adds a line to the explanation of the request.
   void AddExplanation(const routing::PlacementRequest& work, std::string line);
 
   base::Clock clock_;
   const kernel::Tuning& tuning_;
+  const admission::StopDeadline& stop_deadline_;
   routing::Dispatcher& dispatcher_;
   upstream::EngineClient& engines_;
   telemetry::Metrics& metrics_;
--- a/src/relay/service_relay.cc
+++ b/src/relay/service_relay.cc
@@ -50,13 +50,17 @@
 }  // namespace
 
 ServiceRelay::ServiceRelay(base::Clock clock,
+                           const admission::StopDeadline& stop_deadline,
                            routing::Dispatcher& dispatcher,
                            http::Client& client,
+                           http::ConnectionGroup& sends,
                            claims::ClaimService& claims,
                            telemetry::Metrics& metrics)
     : clock_(std::move(clock)),
+      stop_deadline_(stop_deadline),
       dispatcher_(dispatcher),
       client_(client),
+      sends_(sends),
       claims_(claims),
       metrics_(metrics) {}
 
@@ -201,6 +205,7 @@
   http::FetchLimits limits;
   limits.response_timeout =
       std::max(Millis(1), call.work.deadline - clock_.Now());
+  limits.group = &sends_;
   limits.new_connection = !call.work.route.idempotent;
   if (!attempt.empty() && !claims_.BeginSend(attempt)) {
     co_return NotRunResult(ErrorKind::kClaimUnavailable,
@@ -213,6 +218,12 @@
   ServiceResult result{std::move(fetched.response), Ran::kYes, false};
   if (!result.response.ok()) {
     result.ran = fetched.may_have_been_sent ? Ran::kUnknown : Ran::kNo;
+    if (stop_deadline_.TimeLeft(clock_.Now()) == Millis(0)) {
+      result.response = MakeError(
+          ErrorKind::kDraining, "the daemon stopped before the answer arrived",
+          "see whether the request ran, and send it to another daemon");
+      co_return result;
+    }
     (*placement)->SetOutcome(SlotHolder::RequestOutcome::kFailure);
     co_return result;
   }
--- a/src/relay/service_relay.h
+++ b/src/relay/service_relay.h
@@ -3,12 +3,14 @@
 #include <string>
 
 #include "absl/status/statusor.h"
+#include "admission/stop_deadline.h"
 #include "base/clock.h"
 #include "base/error.h"
 #include "base/ids.h"
 #include "base/task.h"
 #include "claims/claim_service.h"
 #include "http/client.h"
+#include "http/connection_group.h"
 #include "relay/retry_budget.h"
 #include "routing/dispatcher.h"
 #include "telemetry/metrics.h"
@@ -44,9 +46,12 @@
   /// Sends of one request, the first included.
   static constexpr int kMaxAttempts = 4;
 
+  /// The connections of all sends are in the group `sends`.
   ServiceRelay(base::Clock clock,
+               const admission::StopDeadline& stop_deadline,
                routing::Dispatcher& dispatcher,
                http::Client& client,
+               http::ConnectionGroup& sends,
                claims::ClaimService& claims,
                telemetry::Metrics& metrics);
 
@@ -65,8 +70,10 @@
                                         base::UpstreamId* used);
 
   base::Clock clock_;
+  const admission::StopDeadline& stop_deadline_;
   routing::Dispatcher& dispatcher_;
   http::Client& client_;
+  http::ConnectionGroup& sends_;
   claims::ClaimService& claims_;
   telemetry::Metrics& metrics_;
   RetryBudget budget_;
--- a/src/upstream/engine_client.cc
+++ b/src/upstream/engine_client.cc
@@ -86,8 +86,10 @@
 class HttpGenerationStream : public GenerationStream {
  public:
   HttpGenerationStream(std::unique_ptr<http::Connection> connection,
+                       std::unique_ptr<http::GroupMember> member,
                        base::Incarnation incarnation)
       : connection_(std::move(connection)),
+        member_(std::move(member)),
         incarnation_(std::move(incarnation)) {}
 
   Task<absl::StatusOr<TokenBatch>> ReadNext(Millis timeout) override {
@@ -113,6 +115,7 @@
 
  private:
   std::unique_ptr<http::Connection> connection_;
+  std::unique_ptr<http::GroupMember> member_;
   base::Incarnation incarnation_;
   EventParser parser_;
 };
@@ -134,8 +137,10 @@
 
 }  // namespace
 
-EngineClient::EngineClient(http::Client& client, base::HostId self)
-    : client_(client), self_(std::move(self)) {}
+EngineClient::EngineClient(http::Client& client,
+                           http::ConnectionGroup& streams,
+                           base::HostId self)
+    : client_(client), streams_(streams), self_(std::move(self)) {}
 
 Task<OpenResult> EngineClient::Start(Endpoint engine,
                                      GenerationRequest request) {
@@ -174,6 +179,13 @@
     co_return OpenResult{connection.status()};
   }
   OpenResult result;
+  auto member = std::make_unique<http::GroupMember>(&streams_, **connection);
+  if (member->closed()) {
+    result.stream =
+        base::MakeError(ErrorKind::kConnectionLost, "the connection was closed",
+                        "send the request again");
+    co_return result;
+  }
   const absl::Status sent = co_await (*connection)->Send(request, kHeadTimeout);
   result.may_have_been_sent = (*connection)->MayHaveBeenSent();
   if (!sent.ok()) {
@@ -204,7 +216,7 @@
   base::Incarnation incarnation(
       std::string(head->headers.Find("X-Engine-Incarnation")));
   result.stream = std::make_unique<HttpGenerationStream>(
-      *std::move(connection), std::move(incarnation));
+      *std::move(connection), std::move(member), std::move(incarnation));
   co_return result;
 }
 
--- a/src/upstream/engine_client.h
+++ b/src/upstream/engine_client.h
@@ -10,6 +10,7 @@
 #include "base/ids.h"
 #include "base/task.h"
 #include "http/client.h"
+#include "http/connection_group.h"
 
 namespace dandelion::upstream {
 
@@ -65,10 +66,14 @@
   bool rejected = false;
 };
 
-/// A client of the engines' HTTP API. `client` must outlive it.
+/// A client of the engines' HTTP API. `client` must outlive it, and `streams`
+/// it and its streams.
 class EngineClient {
  public:
-  EngineClient(http::Client& client, base::HostId self);
+  /// The connections of all streams are in the group `streams`.
+  EngineClient(http::Client& client,
+               http::ConnectionGroup& streams,
+               base::HostId self);
 
   /// Starts a generation and opens its stream.
   base::Task<OpenResult> Start(Endpoint engine, GenerationRequest request);
@@ -88,6 +93,7 @@
   base::Task<OpenResult> OpenStream(Endpoint engine, http::Request request);
 
   http::Client& client_;
+  http::ConnectionGroup& streams_;
   base::HostId self_;
 };
 
