Let connections from the backlog send their request in a drain

Stopping to accept takes the connections that wait in the backlog. The restructured drain looked in the same step whether any connection was open, before the new ones were counted, and could end the process; at the end of its time it also did not wait for requests on open connections. It now looks again in the next step, and while connections are open waits the usual idle time, or to the end, in which such requests are answered.

Found by reading; no test, because the moment cannot be set from outside.

--- a/src/kernel/daemon.cc
+++ b/src/kernel/daemon.cc
@@ -140,28 +140,29 @@
     const Millis end = started + settings_.tuning.drain_timeout;
     stop_deadline_.Set(std::max(started, end - kFinalAnswerTime));
     StartDraining();
+    bool accepting = true;
     Millis idle_since = started;
     size_t cut = 0;
     for (;;) {
       co_await base::SleepFor(kDrainCheckInterval);
       const Millis now = clock_.Now();
       const bool over = stop_deadline_.TimeLeft(now) == Millis(0);
-      if (over || now >= notice_end) {
-        entry_server_.StopAccepting();
-      }
       if (over && !caller_sends_.closed()) {
         // What is still in progress answers with an error now.
         cut = entry_server_.in_flight();
         caller_sends_.Close();
       }
-      const bool idle = (over || now >= notice_end) && IsIdle();
+      const bool idle = !accepting && IsIdle();
       idle_since = idle ? idle_since : now;
-      const bool finished =
-          idle && (over || now - idle_since >= kIdleBeforeStop ||
-                   entry_server_.connections() == 0);
+      const bool finished = idle && (now - idle_since >= kIdleBeforeStop ||
+                                     entry_server_.connections() == 0);
       if (finished || now >= end) {
         break;
       }
+      if (accepting && (over || now >= notice_end)) {
+        accepting = false;
+        entry_server_.StopAccepting();
+      }
     }
     const bool complete = cut == 0 && IsIdle();
     Emit(complete ? Event::kDrainFinished : Event::kDrainTimedOut,
