--- a/src/entry/request_handler.cc
+++ b/src/entry/request_handler.cc
@@ -32,6 +32,10 @@
 constexpr size_t kPrefixBytes = 1024;
 // Largest answer in bytes that is collected in memory.
 constexpr size_t kMaxBufferedBytes = 32UL * 1024 * 1024;
+// Longest time per token of a generation on a loaded engine.
+constexpr Millis kLongestTokenTime{100};
+// Retry-After in seconds for a request that another daemon can serve now.
+constexpr int64_t kRetryElsewhereSeconds = 1;
 
 std::string DumpJson(const json& value) {
   return value.dump(-1, ' ', false, json::error_handler_t::replace);
@@ -61,6 +65,8 @@
     case ErrorKind::kBadAnswer:
     case ErrorKind::kOutcomeUnknown:
       return 502;
+    case ErrorKind::kDraining:
+      return ran == Ran::kNo ? 503 : 502;
     default:
       return ran == Ran::kUnknown ? 502 : 503;
   }
@@ -228,6 +234,13 @@
     co_return;
   }
   incoming->work.id = id;
+  incoming->work.longest_run = LongestRun(request, *incoming);
+  const absl::Status taken = dispatcher_.CheckStop(incoming->work);
+  if (!taken.ok()) {
+    co_await RespondWithError(exchange, id, taken, Ran::kNo,
+                              kRetryElsewhereSeconds);
+    co_return;
+  }
   if (incoming->pool_kind == config::PoolKind::kService) {
     co_await RelayServiceCall(exchange, *std::move(incoming));
   } else if (request.headers.Has("Last-Event-ID")) {
@@ -237,10 +250,32 @@
   }
 }
 
+bool RequestHandler::IsStream(const IncomingRequest& incoming) {
+  return incoming.wants_stream &&
+         incoming.work.route.delivery == config::Delivery::kStream;
+}
+
+Millis RequestHandler::LongestRun(const http::Request& request,
+                                  const IncomingRequest& incoming) const {
+  if (incoming.pool_kind == config::PoolKind::kService) {
+    return tuning_.request_timeout;
+  }
+  // From its first token on, a stream can be resumed at another daemon.
+  if (IsStream(incoming) || request.headers.Has("Last-Event-ID")) {
+    return tuning_.first_token_timeout;
+  }
+  if (incoming.max_tokens <= base::Tokens(0)) {
+    return tuning_.request_timeout;
+  }
+  // More tokens than that take longer than any request may.
+  const int64_t tokens =
+      std::min(incoming.max_tokens.count(), tuning_.request_timeout.count());
+  return tuning_.first_token_timeout + kLongestTokenTime * tokens;
+}
+
 Task<void> RequestHandler::RelayGeneration(http::Exchange& exchange,
                                            IncomingRequest incoming) {
-  if (incoming.wants_stream &&
-      incoming.work.route.delivery == config::Delivery::kStream) {
+  if (IsStream(incoming)) {
     co_await StreamGeneration(exchange, std::move(incoming));
   } else {
     co_await BufferGeneration(exchange, std::move(incoming));
@@ -299,10 +334,13 @@
         absl::StrCat("event: error\ndata: ", DumpJson(problem), "\n\n");
     co_await exchange.Write(event);
     co_await exchange.Finish();
-    Emit(Event::kGenerationLost,
-         {{"request", id.value()},
-          {"organisation", incoming.work.organisation.value()}});
+    if (base::KindOf(result.status) != ErrorKind::kDraining) {
+      Emit(Event::kGenerationLost,
+           {{"request", id.value()},
+            {"organisation", incoming.work.organisation.value()}});
+    }
   }
+  LogIfCut(incoming, result.status, result.ran, started);
 }
 
 Task<void> RequestHandler::BufferGeneration(http::Exchange& exchange,
@@ -332,6 +370,7 @@
                               "the answer exceeds the size limit",
                               "request the answer as a stream")
                   : result.status;
+    LogIfCut(incoming, status, result.ran, false);
     co_await RespondWithError(exchange, id, status, result.ran,
                               ComputeRetryAfter(status, incoming.work));
     co_return;
@@ -415,6 +454,7 @@
     co_await exchange.Write(event);
     co_await exchange.Finish();
   }
+  LogIfCut(incoming, result.status, result.ran, started);
 }
 
 Task<void> RequestHandler::RelayServiceCall(http::Exchange& exchange,
@@ -430,6 +470,7 @@
   relay::ServiceResult result = co_await service_relay_.Run(std::move(call));
   const base::RequestId& id = incoming.work.id;
   if (!result.response.ok()) {
+    LogIfCut(incoming, result.response.status(), result.ran, false);
     co_await RespondWithError(
         exchange, id, result.response.status(), result.ran,
         ComputeRetryAfter(result.response.status(), incoming.work));
@@ -491,6 +532,20 @@
   co_await exchange.Respond(std::move(response));
 }
 
+void RequestHandler::LogIfCut(const IncomingRequest& incoming,
+                              const absl::Status& status,
+                              Ran ran,
+                              bool answering) {
+  if (base::KindOf(status) != ErrorKind::kDraining || ran == Ran::kNo) {
+    return;
+  }
+  Emit(Event::kRequestCut,
+       {{"request", incoming.work.id.value()},
+        {"organisation", incoming.work.organisation.value()},
+        {"age_ms", absl::StrCat((clock_.Now() - incoming.received_at).count())},
+        {"answering", answering ? "1" : "0"}});
+}
+
 int64_t RequestHandler::ComputeRetryAfter(
     const absl::Status& status,
     const routing::PlacementRequest& work) const {
@@ -500,6 +555,8 @@
     case ErrorKind::kClaimUnavailable:
     case ErrorKind::kInProgress:
       return dispatcher_.RetryAfterSeconds(work);
+    case ErrorKind::kDraining:
+      return kRetryElsewhereSeconds;
     default:
       return 0;
   }
--- a/src/kernel/daemon.cc
+++ b/src/kernel/daemon.cc
@@ -1,16 +1,19 @@
 #include "kernel/daemon.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "admission/slot_service.h"
+#include "admission/stop_deadline.h"
 #include "base/error.h"
 #include "claims/claim_service.h"
 #include "config/config_service.h"
 #include "entry/admin_handler.h"
 #include "entry/request_handler.h"
 #include "http/client.h"
+#include "http/connection_group.h"
 #include "http/server.h"
 #include "kernel/registry.h"
 #include "membership/membership.h"
@@ -71,12 +74,13 @@
                     MembersOf(settings_),
                     clock_,
                     MembershipHooks()),
-        engines_(client_, settings_.id),
+        engines_(client_, caller_sends_, settings_.id),
         slots_(executor, clock_, membership_, SlotHooks()),
         dispatcher_(executor,
                     clock_,
                     slots_.holder(),
                     membership_,
+                    stop_deadline_,
                     settings_.tuning.queue_per_organisation,
                     {[this] { slots_.RequestRound(); }}),
         claims_(executor,
@@ -88,10 +92,17 @@
         resume_tokens_(settings_.keys.resume_key),
         generation_relay_(clock_,
                           settings_.tuning,
+                          stop_deadline_,
                           dispatcher_,
                           engines_,
                           metrics_),
-        service_relay_(clock_, dispatcher_, client_, claims_, metrics_),
+        service_relay_(clock_,
+                       stop_deadline_,
+                       dispatcher_,
+                       client_,
+                       caller_sends_,
+                       claims_,
+                       metrics_),
         request_handler_(clock_,
                          settings_.tuning,
                          resume_tokens_,
@@ -124,34 +135,40 @@
   void Stop() { registry_.Stop(); }
 
   Task<bool> Drain() {
-    const Tuning& tuning = settings_.tuning;
-    draining_ = true;
-    membership_.SetDraining();
-    entry_server_.DisableKeepAlive();
-    Emit(Event::kDrainStarted,
-         {{"in_flight", absl::StrCat(entry_server_.in_flight())}});
-    const Millis drain_deadline = clock_.Now() + tuning.drain_timeout;
-    // Gives the load balancer time to notice that readiness has failed.
-    co_await base::SleepFor(tuning.drain_notice);
-    entry_server_.StopAccepting();
-    Millis idle_since = clock_.Now();
-    while (clock_.Now() - idle_since < kIdleBeforeStop) {
-      if (clock_.Now() >= drain_deadline) {
-        Emit(Event::kDrainTimedOut,
-             {{"cut", absl::StrCat(entry_server_.in_flight())}});
-        co_return false;
-      }
+    const Millis started = clock_.Now();
+    const Millis notice_end = started + settings_.tuning.drain_notice;
+    const Millis end = started + settings_.tuning.drain_timeout;
+    stop_deadline_.Set(std::max(started, end - kFinalAnswerTime));
+    StartDraining();
+    bool accepting = true;
+    Millis idle_since = started;
+    size_t cut = 0;
+    for (;;) {
       co_await base::SleepFor(kDrainCheckInterval);
-      const bool idle =
-          entry_server_.in_flight() == 0 && claims_.HasNoPendingAppends();
-      if (!idle) {
-        idle_since = clock_.Now();
-      } else if (entry_server_.connections() == 0) {
+      const Millis now = clock_.Now();
+      const bool over = stop_deadline_.TimeLeft(now) == Millis(0);
+      if (over && !caller_sends_.closed()) {
+        // What is still in progress answers with an error now.
+        cut = entry_server_.in_flight();
+        caller_sends_.Close();
+      }
+      const bool idle = !accepting && IsIdle();
+      idle_since = idle ? idle_since : now;
+      const bool finished = idle && (now - idle_since >= kIdleBeforeStop ||
+                                     entry_server_.connections() == 0);
+      if (finished || now >= end) {
         break;
       }
+      if (accepting && (over || now >= notice_end)) {
+        accepting = false;
+        entry_server_.StopAccepting();
+      }
     }
-    Emit(Event::kDrainFinished);
-    co_return true;
+    const bool complete = cut == 0 && IsIdle();
+    Emit(complete ? Event::kDrainFinished : Event::kDrainTimedOut,
+         {{"cut", absl::StrCat(cut)},
+          {"unanswered", absl::StrCat(entry_server_.in_flight())}});
+    co_return complete;
   }
 
  private:
@@ -159,6 +176,9 @@
   // connections may still carry a new request.
   static constexpr Millis kIdleBeforeStop{500};
   static constexpr Millis kDrainCheckInterval{20};
+  // The part of `Tuning::drain_timeout` at its end in which nothing is in
+  // progress any more but final answers and outcomes of claims.
+  static constexpr Millis kFinalAnswerTime{500};
   static constexpr Millis kHostListInterval{1000};
 
   void AddServices() {
@@ -355,6 +375,9 @@
       Send(to, message);
     };
     hooks.is_up = [this](const HostId& host) { return membership_.IsUp(host); };
+    hooks.may_wait = [this] {
+      return stop_deadline_.TimeLeft(clock_.Now()) != Millis(0);
+    };
     hooks.on_log_request = [this](bool append) {
       metrics_.Add(append ? CounterId::kLogAppends : CounterId::kLogReads);
     };
@@ -375,7 +398,33 @@
     return hooks;
   }
 
-  Task<void> DrainByOperator() { co_await Drain(); }
+  void StartDraining() {
+    draining_ = true;
+    membership_.SetDraining();
+    entry_server_.DisableKeepAlive();
+    Emit(Event::kDrainStarted,
+         {{"in_flight", absl::StrCat(entry_server_.in_flight())}});
+  }
+
+  bool IsIdle() const {
+    return entry_server_.in_flight() == 0 && claims_.HasNoPendingAppends();
+  }
+
+  // Has no deadline, because the process goes on. SIGTERM takes over from it.
+  Task<void> DrainByOperator() {
+    if (draining_) {
+      co_return;
+    }
+    StartDraining();
+    co_await base::SleepFor(settings_.tuning.drain_notice);
+    entry_server_.StopAccepting();
+    while (!IsIdle() && !stop_deadline_.is_set()) {
+      co_await base::SleepFor(kDrainCheckInterval);
+    }
+    if (!stop_deadline_.is_set()) {
+      Emit(Event::kDrainFinished);
+    }
+  }
 
   entry::Readiness CurrentReadiness() const {
     const std::shared_ptr<const config::Tables> tables = config_.tables();
@@ -528,12 +577,15 @@
   base::Incarnation incarnation_;
   telemetry::Metrics metrics_;
   http::Client client_;
+  /// Connections on which callers' requests are sent to upstreams.
+  http::ConnectionGroup caller_sends_;
   std::unique_ptr<platform_client::Log> log_;
   std::unique_ptr<platform_client::HostList> host_list_;
   std::unique_ptr<membership::ZmqTransport> transport_;
   config::ConfigService config_;
   membership::Membership membership_;
   upstream::EngineClient engines_;
+  admission::StopDeadline stop_deadline_;
   admission::SlotService slots_;
   routing::Dispatcher dispatcher_;
   claims::ClaimService claims_;
