--- a/src/entry/request_handler.h
+++ b/src/entry/request_handler.h
@@ -47,6 +47,11 @@
 
   absl::StatusOr<IncomingRequest> ParseRequest(
       const http::Request& request) const;
+  /// Whether the answer is sent as a stream of tokens.
+  static bool IsStream(const IncomingRequest& incoming);
+  /// Returns the value of `PlacementRequest::longest_run`.
+  base::Millis LongestRun(const http::Request& request,
+                          const IncomingRequest& incoming) const;
   /// Answers a completion request, as a stream if the caller and the route want
   /// one.
   base::Task<void> RelayGeneration(http::Exchange& exchange,
@@ -63,6 +68,11 @@
   /// Relays a request to an upstream of a service pool.
   base::Task<void> RelayServiceCall(http::Exchange& exchange,
                                     IncomingRequest incoming);
+  /// Logs the request if the end of a stop cut it after it was sent.
+  void LogIfCut(const IncomingRequest& incoming,
+                const absl::Status& status,
+                base::Ran ran,
+                bool answering);
   /// Sends problem details; `retry_after_s` in seconds, 0 for no header.
   base::Task<void> RespondWithError(http::Exchange& exchange,
                                     const base::RequestId& id,
