Reject requests with a part that crashes engines

Callers saw 502 for one request after the other whose prompts share a part, and other callers' generations on the same engines were cut: each request crashes the engine that begins to answer it, and the next one, at any daemon, was sent like any other.

The cause is that nothing connected the crashes. A daemon counted each against the health of the upstream and forgot the request.

The forwarder now tells the quarantine of parts when an answer broke as it began (its head came, then the connection ended before the first event) and when an engine kept running (events still come half a second after the head, or the answer is complete). A request with a quarantined part gets 503 with Retry-After: at its arrival, while it waits, and before a retry. A generation that broke as it began and has a part that may be the cause is not sent to another engine. Where the quarantine wants to test a part, one request is let through.

The parsed parts lose their token counts, which nothing uses.

--- a/src/kernel/fleet_daemon.cc
+++ b/src/kernel/fleet_daemon.cc
@@ -85,7 +85,7 @@
         retry_budget_(RetryBounds()),
         forwarder_({executor, clock_, adapter_.protocol, placer_, migrator_,
                     adapter_.engines, health_, retry_budget_, metrics_, stop_,
-                    [this] { return mesh_.DaemonCount(); },
+                    quarantine_, [this] { return mesh_.DaemonCount(); },
                     [this] { return MakeAdmissionState(); }}),
         caller_server_(executor,
                        http::ServerLimits(),
@@ -245,6 +245,9 @@
       ReportReaderElection();
       DetectStoreRecovery();
       quarantine_.Tick(now);
+      if (quarantine_.quarantine_count() > 0) {
+        forwarder_.RejectUnsendable();
+      }
       mesh_.Tick();
       upstreams_.Prune(now);
       placer_.DispatchWaiting();
--- a/src/relay/attempt_rules.cc
+++ b/src/relay/attempt_rules.cc
@@ -34,6 +34,8 @@
       return "caller_gone";
     case SendOutcome::kStopping:
       return "stopping";
+    case SendOutcome::kQuarantined:
+      return "quarantined";
   }
   return "broken";
 }
@@ -42,6 +44,7 @@
   switch (end) {
     case SendOutcome::kNotSent:
     case SendOutcome::kOtherUpstream:
+    case SendOutcome::kQuarantined:
       ++unsent;
       break;
     case SendOutcome::kNotRun:
--- a/src/relay/attempt_rules.h
+++ b/src/relay/attempt_rules.h
@@ -29,6 +29,8 @@
   kCallerGone,
   /// The daemon stops before the request could end.
   kStopping,
+  /// A part of the prompt crashes engines, so it was not sent.
+  kQuarantined,
 };
 
 /// Returns the name that is written to the log.
--- a/src/relay/forwarder.cc
+++ b/src/relay/forwarder.cc
@@ -38,6 +38,18 @@
   return soonest + Millis(delay(random));
 }
 
+// Returns when the caller of a request that was not sent should retry.
+Millis RetryAfter(const ForwardResult& end) {
+  switch (end.end) {
+    case SendOutcome::kStopping:
+      return kRetryAtOtherDaemon;
+    case SendOutcome::kQuarantined:
+      return kRetryQuarantined;
+    default:
+      return RetryAfter(end.capacity_in);
+  }
+}
+
 }  // namespace
 
 Forwarder::Forwarder(ForwardServices services)
@@ -49,7 +61,7 @@
       services_.protocol.parse_caller_request(exchange.request());
   const AdmissionState state = services_.admission_state();
   std::variant<AdmittedRequest, Rejection> admission =
-      AdmitRequest(exchange.request(), parsed, state);
+      Admit(exchange.request(), parsed, state);
   if (const Rejection* rejection = std::get_if<Rejection>(&admission)) {
     Emit(Event::kForwardRefused,
          {{"request", parsed.ok() ? parsed->id.value() : ""},
@@ -84,11 +96,40 @@
   call->Finish();
 }
 
+std::variant<AdmittedRequest, Rejection> Forwarder::Admit(
+    const http::Request& request,
+    const absl::StatusOr<CallerRequest>& parsed,
+    const AdmissionState& state) {
+  std::variant<AdmittedRequest, Rejection> admission =
+      AdmitRequest(request, parsed, state);
+  auto* admitted = std::get_if<AdmittedRequest>(&admission);
+  if (!admitted) {
+    return admission;
+  }
+  const Millis now = services_.clock.Now();
+  const std::vector<base::PartId>& parts = admitted->caller.shared_parts;
+  const std::optional<base::PartId> part =
+      services_.quarantine.FindQuarantined(parts, now);
+  if (!part) {
+    return admission;
+  }
+  admitted->tests_quarantine = services_.quarantine.TryTrial(parts, now);
+  if (!admitted->tests_quarantine) {
+    return Rejection{kUnavailable,
+                     absl::StrCat(absl::string_view(kQuarantineReason.data(),
+                                                    kQuarantineReason.size()),
+                                  ": ", part->value()),
+                     kRetryQuarantined};
+  }
+  return admission;
+}
+
 void Forwarder::RejectUnsendable() {
   const Millis now = services_.clock.Now();
   for (ForwardCall* call : calls_) {
-    if (!call->answer_started &&
-        !services_.stop.Allows(call->admitted.longest, now)) {
+    const bool may_send = services_.stop.Allows(call->admitted.longest, now) &&
+                          !IsQuarantined(services_, *call);
+    if (!call->answer_started && !may_send) {
       call->EndWait();
     }
   }
@@ -158,9 +199,7 @@
   rejection.status = FinalStatus(call->history, end.end);
   rejection.reason = std::move(end.reason);
   if (rejection.status == kUnavailable) {
-    rejection.retry_after = end.end == SendOutcome::kStopping
-                                ? kRetryAtOtherDaemon
-                                : RetryAfter(end.capacity_in);
+    rejection.retry_after = RetryAfter(end);
   }
   Emit(Event::kRequestFailed,
        {{"request", call->admitted.caller.id.value()},
--- a/src/relay/forwarder.h
+++ b/src/relay/forwarder.h
@@ -4,7 +4,9 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <variant>
 
+#include "admission/part_quarantine.h"
 #include "admission/stop_deadline.h"
 #include "base/clock.h"
 #include "base/task.h"
@@ -32,6 +34,7 @@
   PoolRetryBudget& retry_budget;
   telemetry::Metrics& metrics;
   const admission::StopDeadline& stop;
+  admission::PartQuarantine& quarantine;
   /// Number of daemons that share the fleet's limits.
   std::function<size_t()> daemons;
   /// Returns the current state by which requests are admitted.
@@ -47,8 +50,8 @@
   /// Admits and forwards one request. Returns when the caller has its final
   /// answer or the exchange was aborted.
   base::Task<void> Handle(http::Exchange& exchange);
-  /// Ends the wait of each request that may no longer be sent before the daemon
-  /// stops, so that its caller can try another daemon.
+  /// Ends the wait of each request that may no longer be sent, because the
+  /// daemon stops or a part of its prompt is quarantined.
   void RejectUnsendable();
   /// Gives each request whose answer has not begun its final answer, because
   /// the daemon ends soon.
@@ -58,6 +61,11 @@
   void LogUnfinished() const;
 
  private:
+  /// Admits a request unless a part of its prompt is quarantined.
+  std::variant<AdmittedRequest, Rejection> Admit(
+      const http::Request& request,
+      const absl::StatusOr<CallerRequest>& parsed,
+      const AdmissionState& state);
   /// Answers a request that was rejected or failed.
   base::Task<void> Reject(http::Exchange& exchange, Rejection rejection);
   base::Task<void> Forward(ForwardCallPtr call);
--- a/src/relay/place_wait.h
+++ b/src/relay/place_wait.h
@@ -16,6 +16,9 @@
   std::optional<base::Millis> capacity_in;
   /// The request may no longer be sent, because the daemon stops.
   bool stopping = false;
+  /// The request may no longer be sent, because a part of its prompt crashes
+  /// engines.
+  bool quarantined = false;
 };
 
 /// Requests a place and waits for it until `request.wait_until`. Cancelling
--- a/src/relay/platform_protocol.h
+++ b/src/relay/platform_protocol.h
@@ -15,12 +15,6 @@
 
 namespace dandelion::relay {
 
-/// A part of a prompt.
-struct PromptPart {
-  base::PartId id;
-  base::Tokens tokens;
-};
-
 /// Properties of a request that its caller sends in headers.
 struct CallerRequest {
   base::RequestId id;
@@ -31,7 +25,7 @@
   int64_t prompt_tokens = 0;
   /// The parts of the prompt that other requests may share, in order. The last
   /// part of a prompt belongs to one request or session and is left out.
-  std::vector<PromptPart> shared_parts;
+  std::vector<base::PartId> shared_parts;
   /// Limit of the output; 0 if the caller set none.
   int64_t max_output_tokens = 0;
   /// The caller's estimate. It is right in the median but often far off.
--- a/src/relay/request_admission.h
+++ b/src/relay/request_admission.h
@@ -15,6 +15,12 @@
 inline constexpr base::Millis kRetryAtOtherDaemon{20};
 /// Reason of a rejection by a stopping daemon.
 inline constexpr std::string_view kStoppingReason = "this daemon is stopping";
+/// Time after which the caller of a request with a quarantined part should
+/// retry.
+inline constexpr base::Millis kRetryQuarantined{60'000};
+/// Reason of the rejection of such a request.
+inline constexpr std::string_view kQuarantineReason =
+    "a part of the prompt crashes engines";
 
 /// State of the daemon by which requests are admitted.
 struct AdmissionState {
@@ -43,6 +49,9 @@
   /// Longest time that the request may take once it is sent to an upstream.
   base::Millis longest{0};
   CallerRequest caller;
+  /// A part of the prompt is quarantined, and this request tests whether it
+  /// still crashes engines.
+  bool tests_quarantine = false;
 };
 
 /// The daemon's own answer to a request that was rejected or failed.
--- a/src/relay/send_once.cc
+++ b/src/relay/send_once.cc
@@ -42,6 +42,7 @@
     case SendOutcome::kNotRun:
     case SendOutcome::kCallerGone:
     case SendOutcome::kStopping:
+    case SendOutcome::kQuarantined:
       break;
   }
 }
@@ -101,10 +102,10 @@
   co_return reply;
 }
 
-std::string JoinPartIds(const std::vector<PromptPart>& parts) {
+std::string JoinPartIds(const std::vector<base::PartId>& parts) {
   return absl::StrJoin(parts, ",",
-                       [](std::string* out, const PromptPart& part) {
-                         absl::StrAppend(out, part.id.value());
+                       [](std::string* out, const base::PartId& part) {
+                         absl::StrAppend(out, part.value());
                        });
 }
 
@@ -124,6 +125,14 @@
          services.stop.Allows(call.admitted.longest, services.clock.Now());
 }
 
+bool IsQuarantined(const ForwardServices& services, const ForwardCall& call) {
+  return !call.admitted.tests_quarantine &&
+         services.quarantine
+             .FindQuarantined(call.admitted.caller.shared_parts,
+                              services.clock.Now())
+             .has_value();
+}
+
 Task<WaitResult> WaitForSend(const ForwardServices& services,
                              ForwardCallPtr call,
                              PlaceRequest request) {
@@ -137,6 +146,10 @@
     wait.place.reset();
     wait.stopping = true;
   }
+  if (IsQuarantined(services, *call)) {
+    wait.place.reset();
+    wait.quarantined = true;
+  }
   co_return std::move(wait);
 }
 
@@ -145,6 +158,7 @@
               const fleet::Pool& pool,
               SendOutcome end) {
   if (call.ended() || !MaySend(services, call) ||
+      IsQuarantined(services, call) ||
       !MayRetry(call.admitted.route, call.history)) {
     return false;
   }
--- a/src/relay/send_once.h
+++ b/src/relay/send_once.h
@@ -20,7 +20,7 @@
                                    std::optional<int64_t> after_event);
 
 /// Returns the IDs of the parts as they are written to the log.
-std::string JoinPartIds(const std::vector<PromptPart>& parts);
+std::string JoinPartIds(const std::vector<base::PartId>& parts);
 
 /// Selects the request's pool by the weights of its route. Null if the route
 /// has no pool that is defined.
@@ -28,7 +28,8 @@
 
 /// Waits for a place for the first or another send. Returns none if the daemon
 /// stops before the request could end there, unless the caller already has a
-/// part of the answer; `stopping` is then set.
+/// part of the answer, or if a part of the prompt is quarantined; `stopping` or
+/// `quarantined` is then set.
 base::Task<WaitResult> WaitForSend(const ForwardServices& services,
                                    ForwardCallPtr call,
                                    PlaceRequest request);
@@ -37,6 +38,10 @@
 /// the caller already has a part of its answer.
 bool MaySend(const ForwardServices& services, const ForwardCall& call);
 
+/// Whether a part of the prompt is quarantined, and the request is not meant to
+/// test this part.
+bool IsQuarantined(const ForwardServices& services, const ForwardCall& call);
+
 /// Returns whether to retry on another upstream after a send that ended with
 /// `end`. Spends a retry from the budget unless nothing was sent.
 bool TryRetry(const ForwardServices& services,
--- a/src/relay/stream_forward.cc
+++ b/src/relay/stream_forward.cc
@@ -33,6 +33,9 @@
 // Generations with a shorter output are urgent, because they free their memory
 // soon.
 constexpr int64_t kShortOutputTokens = 128;
+// An engine that still sends events after this time did not crash because of
+// the prompt.
+constexpr Millis kSoundAnswerTime{500};
 // Longest wait for the result of the final copy after the stream broke.
 constexpr Millis kFinalCopyTimeout{1500};
 
@@ -41,6 +44,8 @@
   std::optional<Millis> head_at;
   // Events that the caller did not have yet.
   int64_t events = 0;
+  // The engine kept running after it began to answer.
+  bool sound = false;
 };
 
 // Whether a send that ended so certainly did not start the generation.
@@ -89,19 +94,14 @@
     WaitResult wait = co_await Wait();
     std::optional<Place> place = std::move(wait.place);
     if (!place) {
-      result_.capacity_in = wait.capacity_in;
-      co_return wait.stopping
-          ? Ended(call_->EndReasonOr(SendOutcome::kStopping),
-                  std::string(kStoppingReason))
-          : Ended(call_->EndReasonOr(SendOutcome::kNotSent),
-                  "no engine has enough free capacity");
+      co_return EndedWithoutPlace(wait);
     }
     while (place) {
       request_.excluded.insert(place->upstream);
       generation_->place = std::move(*place);
       place = std::nullopt;
       const SendOutcome end = co_await GenerateAtPlace();
-      if (done_ || call_->ended()) {
+      if (done_ || call_->ended() || may_crash_engines_) {
         break;
       }
       PrepareResume();
@@ -140,12 +140,26 @@
     return result_;
   }
 
+  ForwardResult EndedWithoutPlace(const WaitResult& wait) {
+    result_.capacity_in = wait.capacity_in;
+    if (wait.stopping) {
+      return Ended(call_->EndReasonOr(SendOutcome::kStopping),
+                   std::string(kStoppingReason));
+    }
+    if (wait.quarantined) {
+      return Ended(call_->EndReasonOr(SendOutcome::kQuarantined),
+                   std::string(kQuarantineReason));
+    }
+    return Ended(call_->EndReasonOr(SendOutcome::kNotSent),
+                 "no engine has enough free capacity");
+  }
+
   // Runs the generation at `generation_->place`, and from KV cache copies when
   // its stream breaks and there is one.
   Task<SendOutcome> GenerateAtPlace() {
     services_.migrator.Add(generation_);
     SendOutcome end = co_await PassStream(std::nullopt);
-    while (!done_ && !call_->ended()) {
+    while (!done_ && !call_->ended() && !may_crash_engines_) {
       const bool switched = co_await SwitchToCopy(end);
       if (!switched) {
         break;
@@ -222,7 +236,7 @@
         services_, call_, generation_->place, std::move(copy), resume_after_);
     if (reply.end != SendOutcome::kAnswered) {
       result_.reason = reply.reason;
-      LogIfBroken(reply.end);
+      RecordIfBroken(reply.end);
       co_return reply.end;
     }
     const absl::Cleanup closed = [this] { call_->SetConnection(nullptr); };
@@ -231,26 +245,41 @@
     }
     progress_.head_at = services_.clock.Now();
     const SendOutcome end = co_await PassEvents(reply);
-    LogIfBroken(end);
+    RecordIfBroken(end);
     co_return end;
   }
 
-  // Logs how far the engine's answer was if it broke, unless the engine was
+  // Records how far the engine's answer was if it broke, unless the engine was
   // told to stop the generation.
-  void LogIfBroken(SendOutcome end) const {
+  void RecordIfBroken(SendOutcome end) {
     if (end != SendOutcome::kBroken || generation_->final_copy_running) {
       return;
     }
+    const std::vector<base::PartId>& parts =
+        call_->admitted.caller.shared_parts;
     const Millis now = services_.clock.Now();
     const Millis head_age = now - progress_.head_at.value_or(now);
-    Emit(Event::kRunBroken,
-         {{"request", generation_->id.value()},
-          {"upstream", generation_->place.upstream.value()},
-          {"head", progress_.head_at ? "1" : "0"},
-          {"head_age_ms", absl::StrCat(head_age.count())},
-          {"events", absl::StrCat(progress_.events)},
-          {"shared_parts", JoinPartIds(call_->admitted.caller.shared_parts)},
-          {"reason", result_.reason}});
+    Emit(Event::kRunBroken, {{"request", generation_->id.value()},
+                             {"upstream", generation_->place.upstream.value()},
+                             {"head", progress_.head_at ? "1" : "0"},
+                             {"head_age_ms", absl::StrCat(head_age.count())},
+                             {"events", absl::StrCat(progress_.events)},
+                             {"shared_parts", JoinPartIds(parts)},
+                             {"reason", result_.reason}});
+    // An engine that crashes under a part does so as it begins to answer.
+    if (progress_.head_at && progress_.events == 0) {
+      services_.quarantine.RecordBreak(generation_->place.upstream, parts, now);
+      may_crash_engines_ = services_.quarantine.IsSuspect(parts, now);
+    }
+  }
+
+  // Records that the engine answers and keeps running.
+  void RecordSound(Millis now) {
+    if (!progress_.sound) {
+      progress_.sound = true;
+      services_.quarantine.RecordSound(call_->admitted.caller.shared_parts,
+                                       now);
+    }
   }
 
   // Passes an engine's error to the caller, unless another engine can be tried
@@ -339,6 +368,9 @@
           Timing::kFirstToken, call_->admitted.organisation,
           call_->admitted.route.name.value(), (now - call_->arrived).seconds());
     }
+    if (now - progress_.head_at.value_or(now) >= kSoundAnswerTime) {
+      RecordSound(now);
+    }
     *last_event_at = now;
   }
 
@@ -364,6 +396,7 @@
         co_return SendOutcome::kCallerGone;
       }
     }
+    RecordSound(services_.clock.Now());
     (void)co_await call_->exchange.Finish();
     done_ = true;
     result_.end = SendOutcome::kAnswered;
@@ -382,6 +415,9 @@
   /// Number of the event after which the engine is asked to continue.
   std::optional<int64_t> resume_after_;
   RunProgress progress_;
+  /// The answer broke as it began, and the prompt has a part that may be the
+  /// cause. Another engine would crash as well.
+  bool may_crash_engines_ = false;
   /// The copy from which the next send continues.
   KvCacheCopy resume_copy_;
   /// The copy to use if the engine refuses `resume_copy_`.
--- a/test/forward-parts-test.cc
+++ b/test/forward-parts-test.cc
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include <optional>
 #include <string>
 
 #include "test/forward-support.h"
@@ -103,5 +104,32 @@
   CHECK(fixture.crashes == 1);
 }
 
+TEST_CASE("a request is sent after it waited while its part was quarantined",
+          "[parts]") {
+  ForwardFixture fixture("draft", RequestKind::kGeneration);
+  http::Request request = CallerRequestFor("draft", "r-1");
+  request.headers.Add("X-Dandeliondyke-Prefix-Hash",
+                      "ca11e4:80," + kCrashingPart + ":40,r-1:20");
+  std::optional<http::Response> response;
+  fixture.StartRequest(std::move(request),
+                       [&response](absl::StatusOr<http::Response> received) {
+                         response = std::move(received).value();
+                       });
+  const admission::PartList parts = {base::PartId("ca11e4"),
+                                     base::PartId(kCrashingPart)};
+  REQUIRE(
+      fixture.RunUntil([&fixture] { return fixture.placer->waiting() == 1; }));
+  for (const char* upstream : {"u-1", "u-2"}) {
+    fixture.AdvanceClock(Millis(1000));
+    fixture.quarantine.RecordBreak(base::UpstreamId(upstream), parts,
+                                   fixture.Now());
+  }
+  fixture.AdvanceClock(Millis(1000));
+  fixture.forwarder().RejectUnsendable();
+  REQUIRE(fixture.RunUntil([&response] { return response.has_value(); }));
+  CHECK(response->status == kUnavailable);
+  CHECK(response->headers.Find("Retry-After") == "60.000");
+}
+
 }  // namespace
 }  // namespace dandelion::test
--- a/test/forward-support.cc
+++ b/test/forward-support.cc
@@ -94,6 +94,10 @@
               [](const base::UpstreamId&) {}}),
       retry_budget(relay::PoolRetryBudget::Bounds()),
       metrics(10),
+      quarantine(
+          base::HostId("front-1"),
+          {[](const base::PartId&, const base::UpstreamId&) {},
+           [](const base::PartId&, int64_t) {}, [](const base::PartId&) {}}),
       clock_([this, host = base::Clock::BootTime()] {
         return host.Now() + clock_offset_;
       }),
@@ -115,7 +119,7 @@
           }});
   forwarder_ = std::make_unique<relay::Forwarder>(relay::ForwardServices{
       executor(), clock_, protocol_, *placer, *migrator, engines, health,
-      retry_budget, metrics, stop, [] { return size_t{1}; },
+      retry_budget, metrics, stop, quarantine, [] { return size_t{1}; },
       [this] {
         return relay::AdmissionState{catalogue_, catalogue_age, Millis(4000),
                                      stop.TimeLeft(clock_.Now())};
@@ -238,6 +242,7 @@
 
 void ForwardFixture::AdvanceClock(Millis by) {
   clock_offset_ = clock_offset_ + by;
+  quarantine.Tick(clock_.Now());
 }
 
 http::Response ForwardFixture::SendRequestOrThrow(http::Request request) {
--- a/test/forward-support.h
+++ b/test/forward-support.h
@@ -103,7 +103,8 @@
   bool RunUntil(const std::function<bool()>& condition);
   base::Executor executor() { return context_.get_executor(); }
   base::Millis Now() const { return clock_.Now(); }
-  /// Sets the daemon's clock forward. Timers are not affected.
+  /// Sets the daemon's clock forward and lets the quarantine decide. Timers are
+  /// not affected.
   void AdvanceClock(base::Millis by);
   relay::Forwarder& forwarder() { return *forwarder_; }
   unsigned short port() const { return callers_->port(); }
@@ -118,6 +119,7 @@
   telemetry::Metrics metrics;
   base::Millis catalogue_age{0};
   admission::StopDeadline stop;
+  admission::PartQuarantine quarantine;
 
  private:
   void RegisterUpstream(const std::string& id,
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -187,11 +187,8 @@
     request.headers.Add("X-Dandeliondyke-Prefix-Hash", parts);
     return protocol.parse_caller_request(request).value().shared_parts;
   };
-  const std::vector<relay::PromptPart> parts = parse("a1:800,b2:410,c3:250");
-  REQUIRE(parts.size() == 2);
-  CHECK(parts[0].id == base::PartId("a1"));
-  CHECK(parts[0].tokens == base::Tokens(800));
-  CHECK(parts[1].id == base::PartId("b2"));
+  CHECK(parse("a1:800,b2:410,c3:250") ==
+        std::vector<base::PartId>{base::PartId("a1"), base::PartId("b2")});
   CHECK(parse("a1:800").empty());
   CHECK(parse("").empty());
   CHECK(parse(",").empty());
