Keep that a request may have run when its retry finds no upstream

What callers saw: a complete answer whose engine restarted while the daemon was stopping got "ran: no", because the retry no longer fitted into the drain. Without a stop the same happened when a retry found no upstream.

Cause: the result of the last attempt was returned alone; an attempt that was not sent says that it did not run.

Fix: both relays keep what the earlier attempts say, and return it if the last attempt did not run. Attempts of keyed calls are only repeated if the earlier ones certainly did not run, so their claims are as before.

Evidence: the new case of failure-test [stop] failed before (503 and "no" in place of 502 and "yes") and passes.

--- a/src/relay/generation_relay.cc
+++ b/src/relay/generation_relay.cc
@@ -84,10 +84,15 @@
                                        std::function<void()> restart) {
   PlacementRequest& work = call.work;
   budget_.OnRequest(work.organisation, work.route.pool);
+  Ran ran_before = Ran::kNo;
   for (;;) {
     bool retry = false;
     base::UpstreamId used;
     RelayResult result = co_await RunOnce(call, sink, &retry, &used);
+    if (result.ran == Ran::kNo) {
+      result.ran = ran_before;
+    }
+    ran_before = result.ran;
     if (result.status.ok()) {
       dispatcher_.ObserveLength(work, result.tokens);
       co_return result;
--- a/src/relay/service_relay.cc
+++ b/src/relay/service_relay.cc
@@ -144,6 +144,7 @@
   ServiceCall current = call;
   const bool may_run_twice =
       attempt.empty() && (call.work.route.idempotent || call.method == "GET");
+  Ran ran_before = Ran::kNo;
   for (int tries = 1;; ++tries) {
     base::UpstreamId used;
     ServiceResult result = co_await AttemptOnce(current, attempt, &used);
@@ -156,8 +157,14 @@
     if (!failed || !may_retry || used.empty() || tries >= kMaxAttempts ||
         clock_.Now() >= call.work.deadline ||
         !budget_.TrySpend(call.work.organisation, call.work.route.pool)) {
+      if (result.ran == Ran::kNo) {
+        result.ran = ran_before;
+      }
       co_return result;
     }
+    if (result.ran != Ran::kNo) {
+      ran_before = result.ran;
+    }
     metrics_.Add(CounterId::kRetries);
     const std::string reason =
         result.response.ok() ? absl::StrCat(result.response->status)
--- a/test/failure-test.cc
+++ b/test/failure-test.cc
@@ -558,6 +558,27 @@
   CHECK(answer.ran == "yes");
 }
 
+TEST_CASE("a generation whose retry is too late for a drain has run",
+          "[stop]") {
+  Fleet fleet(Json::object(),
+              {{"drain_timeout_ms", 20'000}, {"request_timeout_ms", 60'000}});
+  fleet.PublishTablesAndWait();
+  Call call = MakeCompletion("n", 1500, false);
+  call.label = "short";
+  Requests requests(fleet);
+  requests.Start("host-1", "n", call);
+  REQUIRE(fleet.RunUntil([&] { return !FindWorkingEngine(fleet).empty(); }));
+  fleet.Signal("host-1", SIGTERM);
+  REQUIRE(fleet.RunUntil([&] { return IsDraining(fleet, "host-1"); }));
+  fleet.InjectFault(FindWorkingEngine(fleet), {{"restart", true}});
+  REQUIRE(requests.Finish());
+  const Answer& answer = requests.answers().at("n");
+  CHECK(answer.status == 502);
+  CHECK(answer.error_kind == "draining");
+  CHECK(answer.ran == "yes");
+  CHECK(fleet.Wait("host-1") == 0);
+}
+
 TEST_CASE("a stream that outlasts a drain is resumed at another daemon",
           "[stop]") {
   Fleet fleet(Json::object(), kShortDrain);
