Send Retry-After with a draining error only if the request did not run

A call that was cut at the end of a drain and may have run got a Retry-After of 1 s, which invites the caller to run it twice. Only rejections as not run carry it now.

Found by reading; no test looks at the header.

--- a/src/entry/request_handler.cc
+++ b/src/entry/request_handler.cc
@@ -237,8 +237,7 @@
   incoming->work.longest_run = LongestRun(request, *incoming);
   const absl::Status taken = dispatcher_.CheckStop(incoming->work);
   if (!taken.ok()) {
-    co_await RespondWithError(exchange, id, taken, Ran::kNo,
-                              kRetryElsewhereSeconds);
+    co_await RespondWithError(exchange, id, taken, Ran::kNo, 0);
     co_return;
   }
   if (incoming->pool_kind == config::PoolKind::kService) {
@@ -525,6 +524,9 @@
   response.status = StatusCodeOf(kind, ran);
   response.headers.Add("Content-Type", "application/problem+json");
   response.headers.Add("X-Request-Id", id.value());
+  if (kind == ErrorKind::kDraining && ran == Ran::kNo) {
+    retry_after_s = kRetryElsewhereSeconds;
+  }
   if (retry_after_s > 0) {
     response.headers.Add("Retry-After", absl::StrCat(retry_after_s));
   }
@@ -555,8 +557,6 @@
     case ErrorKind::kClaimUnavailable:
     case ErrorKind::kInProgress:
       return dispatcher_.RetryAfterSeconds(work);
-    case ErrorKind::kDraining:
-      return kRetryElsewhereSeconds;
     default:
       return 0;
   }
