Let dandelionctl go on at the next daemon when one is stopping

A stopping daemon ends a stream with an error event of kind draining, or rejects it as not run. dandelionctl took both for final and failed, where a broken connection made it resume at the next daemon of --to.

Fix: it goes on at the next daemon for this kind too.

Evidence: the new case of failure-test [stop] failed before (exit code 1) and passes.

--- a/test/failure-test.cc
+++ b/test/failure-test.cc
@@ -632,6 +632,20 @@
   CHECK(fleet.Wait("host-1") == 0);
 }
 
+TEST_CASE("dandelionctl goes on at the next daemon when one is stopping",
+          "[stop]") {
+  Fleet fleet(Json::object(),
+              {{"drain_notice_ms", 3000}, {"drain_timeout_ms", 5000}});
+  fleet.PublishTablesAndWait();
+  fleet.Signal("host-1", SIGTERM);
+  REQUIRE(fleet.RunUntil([&] { return IsDraining(fleet, "host-1"); }));
+  const std::string to =
+      absl::StrCat(fleet.address("host-1"), ",", fleet.address("host-2"));
+  CHECK(fleet.RunDandelionctl({"send", "--stream", "--to", to, "--organisation",
+                               "formulation", "--prompt", "[[tokens=3]]"}) ==
+        0);
+}
+
 TEST_CASE("an operator's drain cuts nothing", "[stop]") {
   Fleet fleet(Json::object(), {{"drain_timeout_ms", 1000}});
   fleet.PublishTablesAndWait();
--- a/test/support.h
+++ b/test/support.h
@@ -109,6 +109,10 @@
   /// Milliseconds of the monotonic clock, as in the stand-ins' events.
   int64_t NowMs() const;
 
+  /// Where a process listens for callers, as "IP:PORT".
+  const std::string& address(const std::string& name) const {
+    return addresses_.at(name);
+  }
   const std::string& platform() const { return platform_; }
 
  private:
--- a/tools/fleet_commands.cc
+++ b/tools/fleet_commands.cc
@@ -172,10 +172,18 @@
   std::string last_id;
   bool done = false;
   bool failed = false;
+  /// The daemon is stopping; another one goes on with the stream.
+  bool draining = false;
   /// Start of an event that is not complete yet.
   std::string pending;
 };
 
+// Whether `text` is the problem details of a daemon that is stopping.
+bool IsDrainingProblem(std::string_view text) {
+  const json problem = json::parse(text, nullptr, false);
+  return problem.is_object() && problem.value("kind", "") == "draining";
+}
+
 // Prints the text of the events that `bytes` complete.
 void PrintEvents(std::string_view bytes, ReceivedStream* received) {
   received->pending.append(bytes);
@@ -183,6 +191,7 @@
   while ((end = received->pending.find("\n\n")) != std::string::npos) {
     const std::string event = received->pending.substr(0, end);
     received->pending.erase(0, end + 2);
+    bool is_error = false;
     for (const absl::string_view line : absl::StrSplit(event, '\n')) {
       const std::string text(line);
       if (text.rfind("id: ", 0) == 0) {
@@ -190,7 +199,10 @@
       } else if (text == "data: [DONE]") {
         received->done = true;
       } else if (text.rfind("event: error", 0) == 0) {
-        received->failed = true;
+        is_error = true;
+      } else if (is_error && text.rfind("data: ", 0) == 0 &&
+                 IsDrainingProblem(text.substr(6))) {
+        received->draining = true;
       } else if (text.rfind("data: ", 0) == 0) {
         const json data = json::parse(text.substr(6), nullptr, false);
         if (data.is_object() && data.contains("choices")) {
@@ -198,6 +210,7 @@
         } else {
           fmt::print("{}", text.substr(6));
         }
+        received->failed |= is_error;
       }
     }
   }
@@ -226,6 +239,8 @@
     co_return false;
   }
   const bool rejected = head->status >= 400;
+  received.draining = false;
+  std::string problem;
   *exit_code = rejected ? ExitCode::kFailure : ExitCode::kSuccess;
   for (;;) {
     const absl::StatusOr<std::string_view> bytes =
@@ -237,11 +252,17 @@
       break;
     }
     if (rejected) {
-      fmt::print(stderr, "{}\n", std::string(*bytes));
+      problem.append(*bytes);
     } else {
       PrintEvents(*bytes, &received);
     }
   }
+  if (received.draining || IsDrainingProblem(problem)) {
+    co_return false;
+  }
+  if (rejected) {
+    fmt::print(stderr, "{}\n", problem);
+  }
   if (received.failed) {
     *exit_code = ExitCode::kFailure;
   }
