--- a/test/failure-test.cc
+++ b/test/failure-test.cc
@@ -6,6 +6,7 @@
 #include <set>
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 #include "absl/strings/str_split.h"
 #include "test/support.h"
 
@@ -140,6 +141,33 @@
   std::string failures_;
 };
 
+/// Requests that run beside a test, and their answers by key.
+class Requests {
+ public:
+  explicit Requests(Fleet& fleet) : fleet_(fleet) {}
+
+  void Start(const std::string& host, const std::string& key, Call call) {
+    ++started_;
+    fleet_.Spawn(Run(host, key, std::move(call)));
+  }
+  /// Waits until all have ended.
+  bool Finish() {
+    return fleet_.RunUntil([this] { return answers_.size() == started_; },
+                           Millis(25'000));
+  }
+  const std::map<std::string, Answer>& answers() const { return answers_; }
+
+ private:
+  Task<void> Run(std::string host, std::string key, Call call) {
+    const Answer answer = co_await fleet_.Send(host, call);
+    answers_[key] = answer;
+  }
+
+  Fleet& fleet_;
+  size_t started_ = 0;
+  std::map<std::string, Answer> answers_;
+};
+
 TEST_CASE("a stream resumes after its connection falls silent", "[stream]") {
   Fleet fleet;
   fleet.PublishTablesAndWait();
@@ -220,6 +248,23 @@
   CHECK(generations.size() == 1);
 }
 
+TEST_CASE("an answer arrives after its engine restarts before the first token",
+          "[stream]") {
+  Fleet fleet(Json{{"step_base_ms", 2000}});
+  fleet.PublishTablesAndWait();
+  const bool streams = GENERATE(false, true);
+  Requests requests(fleet);
+  requests.Start("host-1", "n", MakeCompletion("n", 2, streams));
+  REQUIRE(fleet.RunUntil([&] { return !FindWorkingEngine(fleet).empty(); }));
+  fleet.InjectFault(FindWorkingEngine(fleet), {{"restart", true}});
+  REQUIRE(requests.Finish());
+  const Answer& answer = requests.answers().at("n");
+  CHECK(answer.done);
+  const std::string text =
+      streams ? absl::StrJoin(answer.tokens, "") : answer.body;
+  CHECK(text.find(".1 ") != std::string::npos);
+}
+
 TEST_CASE("a caller resumes in another data centre after its daemon is killed",
           "[stream]") {
   Fleet fleet;
@@ -439,33 +484,6 @@
   CHECK(traffic.completed() == traffic.sent());
 }
 
-/// Requests that run beside a test, and their answers by key.
-class Requests {
- public:
-  explicit Requests(Fleet& fleet) : fleet_(fleet) {}
-
-  void Start(const std::string& host, const std::string& key, Call call) {
-    ++started_;
-    fleet_.Spawn(Run(host, key, std::move(call)));
-  }
-  /// Waits until all have ended.
-  bool Finish() {
-    return fleet_.RunUntil([this] { return answers_.size() == started_; },
-                           Millis(25'000));
-  }
-  const std::map<std::string, Answer>& answers() const { return answers_; }
-
- private:
-  Task<void> Run(std::string host, std::string key, Call call) {
-    const Answer answer = co_await fleet_.Send(host, call);
-    answers_[key] = answer;
-  }
-
-  Fleet& fleet_;
-  size_t started_ = 0;
-  std::map<std::string, Answer> answers_;
-};
-
 // Returns the requests of a daemon that are in progress at the archive.
 int64_t CountAtArchive(Fleet& fleet, const std::string& host) {
   const Json status = fleet.GetStatus(host);
