Continue a stopped generation at its engine if the target refuses it

What callers saw: an answer was broken off midway although its engine was sound.

Cause: a generation that moves is stopped at its engine by our own order, with the final copy of its KV cache. If the engine that holds the copy then rejects the request (503), is another one by now (421) or can't be reached, the daemon gave up, and the generation was lost. The source still has the KV cache and can continue from it.

Why it works: only sends that certainly did not run the generation lead back to the source, and a handle can be used once, so the generation never runs twice.

The test failed before: the caller's answer was broken off.

--- a/src/migration/active_generation.h
+++ b/src/migration/active_generation.h
@@ -25,6 +25,9 @@
 struct PlacedCopy {
   Place place;
   relay::KvCacheCopy cache;
+  /// The source, if it has stopped the generation. It keeps the KV cache and
+  /// can continue from it as well.
+  std::optional<Place> stopped_source;
 };
 
 /// State of a generation that is streamed to a caller. Shared by the task that
--- a/src/migration/migrator.cc
+++ b/src/migration/migrator.cc
@@ -44,6 +44,16 @@
   return "unknown";
 }
 
+// The engine that runs `generation`, without a reservation: a generation that
+// continues there needs no additional capacity.
+Place SourceOf(const ActiveGeneration& generation) {
+  Place source;
+  source.upstream = generation.place.upstream;
+  source.address = generation.place.address;
+  source.data_centre = generation.place.data_centre;
+  return source;
+}
+
 }  // namespace
 
 Migrator::Migrator(const base::Executor& executor,
@@ -195,6 +205,7 @@
     generation->copy->cache = {source_address, result.handle};
   }
   if (result.outcome == KvCacheCopyOutcome::kCopied) {
+    generation->copy->stopped_source = SourceOf(*generation);
     ++migrated_;
     co_return;
   }
@@ -206,11 +217,7 @@
       !result.handle.empty()) {
     // The generation was stopped but its KV cache is still on the source, so it
     // is resumed there.
-    Place source_place;
-    source_place.upstream = generation->place.upstream;
-    source_place.address = source_address;
-    source_place.data_centre = generation->place.data_centre;
-    generation->copy->place = std::move(source_place);
+    generation->copy->place = SourceOf(*generation);
   }
 }
 
--- a/src/relay/stream_forward.cc
+++ b/src/relay/stream_forward.cc
@@ -35,6 +35,12 @@
 // Longest wait for the result of the final copy after the stream broke.
 constexpr Millis kFinalCopyTimeout{1500};
 
+// Whether a send that ended so certainly did not start the generation.
+bool DidNotRun(SendOutcome end) {
+  return end == SendOutcome::kNotSent || end == SendOutcome::kNotRun ||
+         end == SendOutcome::kOtherUpstream;
+}
+
 /// Forwards one generation, with retries and switches to KV cache copies.
 class StreamForwarder {
  public:
@@ -132,7 +138,7 @@
     services_.migrator.Add(generation_);
     SendOutcome end = co_await PassStream(std::nullopt);
     while (!done_ && !call_->ended()) {
-      const bool switched = co_await SwitchToCopy();
+      const bool switched = co_await SwitchToCopy(end);
       if (!switched) {
         break;
       }
@@ -155,20 +161,36 @@
     splitter_.Reset();
   }
 
-  // Switches to the KV cache copy that the migrator has made, if there is one.
-  // Waits for the result of a final copy that is under way. Returns false if
-  // there is no copy.
-  Task<bool> SwitchToCopy() {
+  // Takes the KV cache copy that the migrator has made. If an engine refused
+  // the last copy with `end`, takes the one of the source that has stopped.
+  std::optional<migration::PlacedCopy> TakeCopy(SendOutcome end) {
+    std::optional<migration::PlacedCopy> copy =
+        std::exchange(copy_at_source_, std::nullopt);
+    if (generation_->copy && !generation_->copy->cache.handle.empty()) {
+      copy = std::exchange(generation_->copy, std::nullopt);
+      if (copy->stopped_source) {
+        copy_at_source_.emplace();
+        copy_at_source_->place = *std::move(copy->stopped_source);
+        copy_at_source_->cache = copy->cache;
+      }
+      return copy;
+    }
+    return DidNotRun(end) ? std::move(copy) : std::nullopt;
+  }
+
+  // Switches to a KV cache copy, if there is one. Waits for the result of a
+  // final copy that is under way. Returns false if there is no copy.
+  Task<bool> SwitchToCopy(SendOutcome end) {
     if (generation_->final_copy_running) {
       co_await base::SleepOnTimer(generation_->final_copy_ended,
                                   kFinalCopyTimeout);
     }
-    if (!generation_->copy || generation_->copy->cache.handle.empty()) {
+    std::optional<migration::PlacedCopy> taken = TakeCopy(end);
+    if (!taken) {
       co_return false;
     }
     services_.migrator.Remove(generation_);
-    migration::PlacedCopy copy = *std::move(generation_->copy);
-    generation_->copy.reset();
+    migration::PlacedCopy copy = *std::move(taken);
     resume_copy_ = copy.cache;
     const base::UpstreamId from = generation_->place.upstream;
     generation_->place = std::move(copy.place);
@@ -329,6 +351,8 @@
   std::optional<int64_t> resume_after_;
   /// The copy from which the next send continues.
   KvCacheCopy resume_copy_;
+  /// The copy to use if the engine refuses `resume_copy_`.
+  std::optional<migration::PlacedCopy> copy_at_source_;
   /// Whether the head of the answer was sent to the caller.
   bool started_ = false;
   /// Whether the caller was sent its final answer.
--- a/test/forward-test.cc
+++ b/test/forward-test.cc
@@ -282,8 +282,14 @@
   explicit PausableStream(base::Executor executor)
       : resume_signal_(std::move(executor)) {}
 
+  /// A request that continues a generation is answered without a pause.
   http::Handler Handler(int64_t pause_after, int64_t last) {
     return [this, pause_after, last](http::Exchange& exchange) -> Task<void> {
+      if (exchange.request().headers.Has("Last-Event-Id")) {
+        const http::Handler rest = StreamUpTo(last, true);
+        co_await rest(exchange);
+        co_return;
+      }
       http::Response head = SealedResponse(exchange.request(), "");
       absl::Status written = co_await exchange.StartStream(std::move(head));
       for (int64_t id = 1; written.ok() && id <= last; ++id) {
@@ -326,7 +332,9 @@
     AddUpstream("u-1", "draft", pausable.Handler(2, 6));
     base::Spawn(executor(), Send());
     REQUIRE(RunUntil([this] { return pausable.is_paused; }));
-    target = &AddUpstream("u-2", "draft", StreamUpTo(6, true));
+    target = &AddUpstream("u-2", "draft", [this](http::Exchange& exchange) {
+      return on_target_request(exchange);
+    });
   }
 
   Task<void> Send() {
@@ -350,6 +358,7 @@
 
   PausableStream pausable;
   FakeUpstream* target = nullptr;
+  http::Handler on_target_request = StreamUpTo(6, true);
   http::Client caller;
   absl::StatusOr<http::Response> answer = absl::UnknownError("none");
   bool done = false;
@@ -396,6 +405,27 @@
   CHECK(fixture.answer->body == EventsUpTo(6));
 }
 
+TEST_CASE(
+    "a generation that was stopped continues at its engine if the target "
+    "refuses the copy",
+    "[moving]") {
+  MigrationFixture fixture;
+  fixture.on_target_request = RejectNotRun;
+  fixture.engines.on_copy = [&fixture](const base::RequestId&,
+                                       bool stop_generation) {
+    if (stop_generation) {
+      fixture.pausable.Break();
+    }
+    return relay::KvCacheCopyResult{relay::KvCacheCopyOutcome::kCopied, "h-1",
+                                    2};
+  };
+  fixture.Leave();
+  REQUIRE(fixture.RunUntil([&fixture] { return fixture.done; }));
+  REQUIRE(fixture.answer.ok());
+  CHECK(fixture.answer->body == EventsUpTo(6));
+  CHECK(fixture.target->seen().size() == 1);
+}
+
 TEST_CASE("a KV cache copy that was not used is freed", "[moving]") {
   MigrationFixture fixture;
   fixture.engines.on_copy = [&fixture](const base::RequestId&,
