Answer a request that stops arriving with 408

What callers saw: a request that did not arrive within the header or body timeout ended with a closed connection and no answer, although 408 states that it has not run.

Cause: the reads used the timeout of beast::tcp_stream, which closes the socket when it passes, so the rejection could not be sent.

Why it works: a timer of the session cancels the read instead, which leaves the socket open for the answer.

The test failed before: nothing was received, with half of a head and with half of a body.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -57,7 +57,9 @@
 class Session : public Exchange, public std::enable_shared_from_this<Session> {
  public:
   Session(tcp::socket socket, const ServerLimits& limits)
-      : limits_(limits), stream_(std::move(socket)) {}
+      : limits_(limits),
+        stream_(std::move(socket)),
+        read_timer_(stream_.get_executor()) {}
 
   const Request& request() const override { return request_; }
 
@@ -220,15 +222,20 @@
     }
     receiving_ = true;
     const absl::Cleanup received = [this] { receiving_ = false; };
-    SetTimeout(limits_.header_timeout);
+    stream_.expires_never();
+    StartReadTimer(limits_.header_timeout);
     auto [error, size] =
         co_await bhttp::async_read_header(stream_, buffer, parser, kNoThrow);
     if (!error) {
       busy_ = true;
-      SetTimeout(limits_.body_timeout);
+      StartReadTimer(limits_.body_timeout);
       std::tie(error, size) =
           co_await bhttp::async_read(stream_, buffer, parser, kNoThrow);
     }
+    StopReadTimer();
+    if (error && read_timed_out_) {
+      error = beast::error::timeout;
+    }
     if (!error) {
       co_return true;
     }
@@ -241,6 +248,27 @@
     co_return false;
   }
 
+  // Cancels the read in progress after `timeout`. The stream's own timeout
+  // would close the socket, so that the request could not be rejected.
+  void StartReadTimer(Millis timeout) {
+    read_timed_out_ = false;
+    read_timer_.expires_after(std::chrono::milliseconds(timeout.count()));
+    read_timer_.async_wait([weak = weak_from_this()](
+                               const boost::system::error_code& error) {
+      const std::shared_ptr<Session> self = weak.lock();
+      // The timer may have been started again since it expired.
+      if (!error && self &&
+          self->read_timer_.expiry() <= asio::steady_timer::clock_type::now()) {
+        self->read_timed_out_ = true;
+        self->stream_.cancel();
+      }
+    });
+  }
+
+  void StopReadTimer() {
+    read_timer_.expires_at(asio::steady_timer::time_point::max());
+  }
+
   void SetRequest(bhttp::request<bhttp::string_body> message) {
     request_ = Request();
     request_.method = std::string(message.method_string());
@@ -274,12 +302,14 @@
 
   const ServerLimits& limits_;
   beast::tcp_stream stream_;
+  asio::steady_timer read_timer_;
   Request request_;
   bool keep_alive_ = true;
   bool response_started_ = false;
   bool busy_ = false;
   bool receiving_ = false;
   bool has_served_ = false;
+  bool read_timed_out_ = false;
   bool broken_ = false;
   bool unresponsive_ = false;
   bool chunked_ = false;
