Make two checks of the stop independent of the end of a wait

In two branches of the new stop tests the wait for an upstream ended by itself after twice the answer target, with the status that the test expects: with RejectUnsendable or EndUnanswered doing nothing they would have passed. The route's answer target and the caller's deadline now outlast the test. Found by a review; with both functions emptied the first test fails at its wait for an answer.

--- a/test/forward-test.cc
+++ b/test/forward-test.cc
@@ -541,10 +541,13 @@
 TEST_CASE("a request that waited into a stop is not sent", "[forward]") {
   const RequestKind kind =
       GENERATE(RequestKind::kNonIdempotent, RequestKind::kGeneration);
-  ForwardFixture fixture("work", kind);
+  ForwardFixture fixture;
+  // No wait ends by itself within this test.
+  fixture.AddRoute("work", kind).answer_target = base::Millis(60'000);
+  fixture.Publish();
   absl::StatusOr<http::Response> response = absl::UnknownError("no answer");
   bool done = false;
-  fixture.StartRequest(CallerRequestFor("work", "r-1"),
+  fixture.StartRequest(CallerRequestFor("work", "r-1", base::Millis(60'000)),
                        [&](absl::StatusOr<http::Response> received) {
                          response = std::move(received);
                          done = true;
@@ -571,7 +574,10 @@
           "[forward]") {
   const RequestKind kind =
       GENERATE(RequestKind::kNonIdempotent, RequestKind::kGeneration);
-  ForwardFixture fixture("work", kind);
+  ForwardFixture fixture;
+  // No wait ends by itself within this test.
+  fixture.AddRoute("work", kind).answer_target = base::Millis(60'000);
+  fixture.Publish();
   const bool is_sent = GENERATE(true, false);
   const FakeUpstream* upstream = nullptr;
   if (is_sent) {
@@ -583,7 +589,7 @@
   }
   absl::StatusOr<http::Response> response = absl::UnknownError("no answer");
   bool done = false;
-  fixture.StartRequest(CallerRequestFor("work", "r-1"),
+  fixture.StartRequest(CallerRequestFor("work", "r-1", base::Millis(60'000)),
                        [&](absl::StatusOr<http::Response> received) {
                          response = std::move(received);
                          done = true;
