Give final answers their time even if the event loop lags

Callers would see: on a loaded host a stopping daemon ends without the answers that it owes.

Cause: the end of a drain was one loop until a point in time. If its last sleep returned later than that, the requests were ended and the process in the same step, before any answer could be written. dandeliond had the same shape.

Change: the time for final answers counts from the moment at which the requests are ended, for at least four turns of the event loop; the margin before the process is killed covers it. A connection whose next request is readable no longer counts as idle either.

No test sets a lag of the event loop.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -180,7 +180,10 @@
   /// Whether a request has begun to arrive and is not complete.
   bool receiving() const { return receiving_; }
   /// Whether the connection is between two requests.
-  bool idle() const { return has_served_ && !busy(); }
+  bool idle() {
+    boost::system::error_code error;
+    return has_served_ && !busy() && stream_.socket().available(error) == 0;
+  }
   void CloseNow() { stream_.close(); }
 
  private:
--- a/src/kernel/daemon.cc
+++ b/src/kernel/daemon.cc
@@ -137,7 +137,7 @@
   Task<bool> Drain() {
     const Millis started = clock_.Now();
     const Millis notice_end = started + settings_.tuning.drain_notice;
-    const Millis end = started + settings_.tuning.drain_timeout;
+    Millis end = started + settings_.tuning.drain_timeout;
     stop_deadline_.Set(std::max(started, end - kFinalAnswerTime));
     StartDraining();
     bool accepting = true;
@@ -151,6 +151,8 @@
         // What is still in progress answers with an error now.
         cut = entry_server_.in_flight();
         caller_sends_.Close();
+        // Also if the event loop lags, the answers get their time.
+        end = std::max(end, now + kFinalAnswerTime);
       }
       const bool idle = !accepting && IsIdle();
       idle_since = idle ? idle_since : now;
--- a/src/kernel/fleet_daemon.cc
+++ b/src/kernel/fleet_daemon.cc
@@ -49,6 +49,8 @@
 // Accepted requests must be answered this long before the drain ends, so that
 // those that are late can still be given a final answer.
 constexpr Millis kFinalAnswerTime{200};
+// Answers are given at least so many turns of the event loop, also if it lags.
+constexpr int kMinFinalChecks = 4;
 constexpr Millis kDrainCheckInterval{20};
 
 }  // namespace
@@ -124,29 +126,24 @@
   }
 
   Task<void> Drain() {
-    const Millis drain_started_at = clock_.Now();
-    const Millis drain_deadline =
-        drain_started_at + settings_.stop_grace - kDrainEndMargin;
-    stop_.Set(drain_deadline - kFinalAnswerTime);
+    const Millis started = clock_.Now();
+    stop_.Set(started + settings_.stop_grace - kDrainEndMargin -
+              kFinalAnswerTime);
     mesh_.SetDraining();
     caller_server_.DisableKeepAlive();
     Emit(Event::kDrainStarted,
          {{"in_flight", absl::StrCat(caller_server_.in_flight())}});
-    while (clock_.Now() < drain_deadline) {
+    bool ended = false;
+    while (!ended && stop_.TimeLeft(clock_.Now()) > Millis(0)) {
       co_await base::SleepFor(kDrainCheckInterval);
       forwarder_.RejectUnsendable();
-      if (stop_.TimeLeft(clock_.Now()) == Millis(0)) {
-        forwarder_.EndUnanswered();
-      }
-      if (clock_.Now() - drain_started_at < kMinDrainTime) {
-        continue;
-      }
-      // The load balancer sends new connections to other daemons by now.
-      caller_server_.CloseIdle();
-      if (caller_server_.in_flight() == 0) {
-        break;
+      // The load balancer sends new connections to other daemons by then.
+      if (clock_.Now() - started >= kMinDrainTime) {
+        caller_server_.CloseIdle();
+        ended = caller_server_.in_flight() == 0;
       }
     }
+    co_await GiveFinalAnswers();
     forwarder_.LogUnfinished();
     if (caller_server_.arriving() > 0) {
       Emit(Event::kConnectionsDropped,
@@ -158,6 +155,19 @@
   }
 
  private:
+  // Ends what is still unanswered and waits for the answers to be sent, and for
+  // the last of those that have begun.
+  Task<void> GiveFinalAnswers() {
+    const Millis end = clock_.Now() + kFinalAnswerTime;
+    for (int checks = 0; caller_server_.in_flight() > 0; ++checks) {
+      if (checks >= kMinFinalChecks && clock_.Now() >= end) {
+        break;
+      }
+      forwarder_.EndUnanswered();
+      co_await base::SleepFor(kDrainCheckInterval);
+    }
+  }
+
   void AddServices() {
     registry_.Add("mesh", &mesh_,
                   {[this] { return OpenTransport(); }, nullptr});
