Test unframed answers, and a head without end

An upstream's answer, a stream too, may come with neither a length nor chunks and end with its connection; bytes that are no answer may come without end. RawUpstream can now repeat bytes until its peer closes, pause between them, and reset its connection. A fetch of the fixture that is given up no longer leaves its task with references to a stack frame that has ended.

No program changes.

--- a/test/forward-support.cc
+++ b/test/forward-support.cc
@@ -1,9 +1,10 @@
 #include "test/forward-support.h"
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <chrono>
+#include <memory>
+#include <optional>
+#include <tuple>
 #include <utility>
 
 #include "platform/platform_protocol.h"
@@ -18,6 +19,18 @@
 
 constexpr size_t kMaxRequestBytes = 16 * 1024;
 
+Task<void> FetchInto(
+    http::Client& client,
+    tcp::endpoint address,
+    http::Request request,
+    std::shared_ptr<std::optional<absl::StatusOr<http::Response>>> response) {
+  http::FetchLimits limits;
+  limits.new_connection = true;
+  http::FetchResult result =
+      co_await client.Fetch(address, std::move(request), limits);
+  *response = std::move(result.response);
+}
+
 }  // namespace
 
 FakeUpstream::FakeUpstream(const base::Executor& executor,
@@ -38,7 +51,7 @@
   return {boost::asio::ip::address_v4::loopback(), server_.port()};
 }
 
-RawUpstream::RawUpstream(const base::Executor& executor, std::string answer)
+RawUpstream::RawUpstream(const base::Executor& executor, RawAnswer answer)
     : acceptor_(executor,
                 tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)),
       answer_(std::move(answer)) {
@@ -47,19 +60,47 @@
 
 Task<void> RawUpstream::AcceptAll() {
   for (;;) {
-    boost::system::error_code error;
-    tcp::socket socket = co_await acceptor_.async_accept(
-        boost::asio::redirect_error(boost::asio::use_awaitable, error));
+    auto [error, socket] = co_await acceptor_.async_accept(base::kNoThrow);
     if (error) {
       co_return;
     }
-    std::string request(kMaxRequestBytes, '\0');
-    co_await socket.async_read_some(
-        boost::asio::buffer(request),
-        boost::asio::redirect_error(boost::asio::use_awaitable, error));
-    co_await boost::asio::async_write(
-        socket, boost::asio::buffer(answer_),
-        boost::asio::redirect_error(boost::asio::use_awaitable, error));
+    ++connections_;
+    base::Spawn(acceptor_.get_executor(), Answer(std::move(socket)));
+  }
+}
+
+Task<void> RawUpstream::Answer(tcp::socket socket) {
+  const RawAnswer answer = answer_;
+  socket.set_option(tcp::no_delay(true));
+  std::string request(kMaxRequestBytes, '\0');
+  co_await socket.async_read_some(boost::asio::buffer(request), base::kNoThrow);
+  co_await boost::asio::async_write(socket, boost::asio::buffer(answer.bytes),
+                                    base::kNoThrow);
+  if (answer.reset) {
+    // The destructor would not reset it.
+    socket.set_option(boost::asio::socket_base::linger(true, 0));
+    socket.close();
+    co_return;
+  }
+  for (size_t sent = 0; !answer.repeated.empty() && sent < kMaxRepeatedBytes;) {
+    const auto [error, size] = co_await boost::asio::async_write(
+        socket, boost::asio::buffer(answer.repeated), base::kNoThrow);
+    if (error) {
+      ++cut_;
+      co_return;
+    }
+    sent += size;
+    if (answer.pause > Millis(0)) {
+      co_await base::SleepFor(answer.pause);
+    }
+  }
+  if (!answer.repeated.empty()) {
+    // Sends nothing more, but does not end the answer either.
+    boost::system::error_code error;
+    while (!error) {
+      std::tie(error, std::ignore) = co_await socket.async_read_some(
+          boost::asio::buffer(request), base::kNoThrow);
+    }
   }
 }
 
@@ -185,11 +226,18 @@
   return *(fakes_[id] = std::move(fake));
 }
 
-void ForwardFixture::AddRawUpstream(const std::string& id,
-                                    const std::string& pool,
-                                    std::string answer) {
+RawUpstream& ForwardFixture::AddRawUpstream(const std::string& id,
+                                            const std::string& pool,
+                                            std::string answer) {
+  return AddRawUpstream(id, pool, RawAnswer{std::move(answer)});
+}
+
+RawUpstream& ForwardFixture::AddRawUpstream(const std::string& id,
+                                            const std::string& pool,
+                                            RawAnswer answer) {
   raw_.push_back(std::make_unique<RawUpstream>(executor(), std::move(answer)));
   RegisterUpstream(id, pool, raw_.back()->address());
+  return *raw_.back();
 }
 
 void ForwardFixture::RegisterUpstream(const std::string& id,
@@ -205,20 +253,16 @@
 
 absl::StatusOr<http::Response> ForwardFixture::SendRequest(
     http::Request request) {
-  absl::StatusOr<http::Response> response = absl::UnknownError("no answer");
-  bool done = false;
-  const tcp::endpoint address(boost::asio::ip::address_v4::loopback(), port());
-  const auto send = [&]() -> Task<void> {
-    http::FetchLimits limits;
-    limits.new_connection = true;
-    http::FetchResult result =
-        co_await client_.Fetch(address, std::move(request), limits);
-    response = std::move(result.response);
-    done = true;
-  };
-  base::Spawn(executor(), send());
-  RunUntil([&done] { return done; });
-  return response;
+  // Shared, since the caller may give up before the task ends.
+  const auto response =
+      std::make_shared<std::optional<absl::StatusOr<http::Response>>>();
+  base::Spawn(
+      executor(),
+      FetchInto(client_,
+                tcp::endpoint(boost::asio::ip::address_v4::loopback(), port()),
+                std::move(request), response));
+  RunUntil([&response] { return response->has_value(); });
+  return response->value_or(absl::UnknownError("no answer"));
 }
 
 http::Response ForwardFixture::SendRequestOrThrow(http::Request request) {
@@ -256,6 +300,17 @@
   return request;
 }
 
+std::string RawHead(const std::string& id, const std::string& framing) {
+  return "HTTP/1.1 200 OK\r\nX-Dandeliondyke-Request-Id: " + id +
+         "\r\nX-Dandeliondyke-Response-Seal: seal\r\n" + framing + "\r\n";
+}
+
+std::string RawAnswerTo(const std::string& id, const std::string& body) {
+  return RawHead(id,
+                 "Content-Length: " + std::to_string(body.size()) + "\r\n") +
+         body;
+}
+
 http::Response SealedResponse(const http::Request& request, std::string body) {
   http::Response response;
   response.headers.Add(
--- a/test/forward-support.h
+++ b/test/forward-support.h
@@ -28,22 +28,45 @@
   http::Server server_;
 };
 
+/// What a `RawUpstream` sends on each connection.
+struct RawAnswer {
+  std::string bytes;
+  /// Written after `bytes` again and again until the peer closes the
+  /// connection; nothing if empty. No more than `kMaxRepeatedBytes` are sent.
+  std::string repeated = "";
+  /// Pause between two writes of `repeated`.
+  base::Millis pause{0};
+  /// Resets the connection after `bytes`, in place of closing it.
+  bool reset = false;
+};
+
 /// An upstream that answers the first bytes on each connection with fixed bytes
 /// and closes the connection.
 class RawUpstream {
  public:
-  RawUpstream(const base::Executor& executor, std::string answer);
+  /// Bounds the memory of a peer that reads without end.
+  static constexpr size_t kMaxRepeatedBytes = 64 * 1024 * 1024;
+
+  RawUpstream(const base::Executor& executor, RawAnswer answer);
 
   boost::asio::ip::tcp::endpoint address() const {
     return acceptor_.local_endpoint();
   }
   void Close() { acceptor_.close(); }
+  /// Number of connections so far.
+  int connections() const { return connections_; }
+  /// Number of connections that the peer closed before all of `repeated` was
+  /// sent.
+  int cut() const { return cut_; }
 
  private:
   base::Task<void> AcceptAll();
+  base::Task<void> Answer(boost::asio::ip::tcp::socket socket);
 
   boost::asio::ip::tcp::acceptor acceptor_;
-  std::string answer_;
+  RawAnswer answer_;
+  int connections_ = 0;
+  int cut_ = 0;
 };
 
 /// Engine control whose copies are answered by a function of the test.
@@ -88,9 +111,12 @@
                             const std::string& pool,
                             http::Handler handler);
   /// Adds an upstream that answers any request with the bytes of `answer`.
-  void AddRawUpstream(const std::string& id,
-                      const std::string& pool,
-                      std::string answer);
+  RawUpstream& AddRawUpstream(const std::string& id,
+                              const std::string& pool,
+                              std::string answer);
+  RawUpstream& AddRawUpstream(const std::string& id,
+                              const std::string& pool,
+                              RawAnswer answer);
   /// Sends a request and waits for the complete answer.
   absl::StatusOr<http::Response> SendRequest(http::Request request);
   /// Like `SendRequest`, but throws if there is no complete answer.
@@ -131,6 +157,11 @@
 http::Request CallerRequestFor(const std::string& route,
                                const std::string& id,
                                base::Millis deadline = base::Millis(5000));
+/// Returns the head of a sealed answer with status 200 to the request `id`.
+/// `framing` holds the header lines that delimit its body.
+std::string RawHead(const std::string& id, const std::string& framing);
+/// Returns a sealed answer to the request `id` with a `Content-Length`.
+std::string RawAnswerTo(const std::string& id, const std::string& body);
 /// Returns an answer to `request` that carries the upstream's seal.
 http::Response SealedResponse(const http::Request& request, std::string body);
 
--- a/test/forward-test.cc
+++ b/test/forward-test.cc
@@ -143,19 +143,13 @@
   CHECK(response.body.find("packed") == std::string::npos);
 }
 
-std::string RawAnswer(const std::string& id, const std::string& body) {
-  return "HTTP/1.1 200 OK\r\nX-Dandeliondyke-Request-Id: " + id +
-         "\r\nX-Dandeliondyke-Response-Seal: seal\r\nContent-Length: " +
-         std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-
 TEST_CASE("an answer with the ID of another request is not passed on",
           "[forward]") {
   ForwardFixture fixture("write", RequestKind::kNonIdempotent);
   const bool own_answer_follows = GENERATE(true, false);
-  std::string answers = RawAnswer("r-0", "somebody else's");
+  std::string answers = RawAnswerTo("r-0", "somebody else's");
   if (own_answer_follows) {
-    answers += RawAnswer("r-1", "own");
+    answers += RawAnswerTo("r-1", "own");
   }
   fixture.AddRawUpstream("u-1", "write", answers);
   const http::Response response =
--- /dev/null
+++ b/test/upstream-bytes-test.cc
@@ -0,0 +1,103 @@
+#include <catch2/catch.hpp>
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <optional>
+
+#include "test/forward-support.h"
+
+namespace dandelion::test {
+namespace {
+
+using base::Millis;
+using base::Task;
+using fleet::RequestKind;
+
+constexpr char kChunked[] = "Transfer-Encoding: chunked\r\n";
+constexpr char kUnframed[] = "Connection: close\r\n";
+// Longer than any test waits.
+constexpr Millis kLongTime{60'000};
+
+std::string EventText(int64_t id) {
+  return "id: " + std::to_string(id) + "\ndata: x\n\n";
+}
+
+/// Publishes a route whose requests may run once.
+void PublishUnsafeRoute(ForwardFixture& fixture) {
+  fixture.AddRoute("write", RequestKind::kNonIdempotent).timeout = kLongTime;
+  fixture.Publish();
+}
+
+// Bytes that are no answer and come without end.
+
+TEST_CASE("a head without end is not read to its end", "[bytes]") {
+  ForwardFixture fixture;
+  PublishUnsafeRoute(fixture);
+  RawAnswer answer{GENERATE(as<std::string>(), "", "HTTP/1.1 200 OK\r\n")};
+  // As one long line, then as many lines.
+  answer.repeated =
+      GENERATE(as<std::string>(), "xxxxxxxx", "X-Name: value\r\n");
+  const RawUpstream& upstream =
+      fixture.AddRawUpstream("u-1", "write", std::move(answer));
+  const auto response =
+      fixture.SendRequest(CallerRequestFor("write", "r-1", kLongTime));
+  REQUIRE(response.ok());
+  CHECK(response->status == 502);
+  CHECK(fixture.RunUntil([&upstream] { return upstream.cut() == 1; }));
+  CHECK(fixture.health.FailureRate(base::UpstreamId("u-1")) > 0);
+}
+
+// Answers without length or chunks.
+
+TEST_CASE("an unframed plain answer is passed on completely", "[bytes]") {
+  ForwardFixture fixture;
+  PublishUnsafeRoute(fixture);
+  // Shorter and longer than what is buffered before an answer is passed on.
+  const std::string body(GENERATE(0, 6, 300'000), 'a');
+  fixture.AddRawUpstream("u-1", "write", RawHead("r-1", kUnframed) + body);
+  const auto response = fixture.SendRequest(CallerRequestFor("write", "r-1"));
+  REQUIRE(response.ok());
+  CHECK(response->status == 200);
+  CHECK(response->body == body);
+  CHECK(response->headers.Find("X-Dandeliondyke-Response-Seal") == "seal");
+}
+
+TEST_CASE("an unframed stream is passed on completely", "[bytes]") {
+  ForwardFixture fixture("draft", RequestKind::kGeneration);
+  const std::string events = EventText(1) + EventText(2) + EventText(3);
+  fixture.AddRawUpstream("u-1", "draft", RawHead("r-1", kUnframed) + events);
+  const auto response = fixture.SendRequest(CallerRequestFor("draft", "r-1"));
+  REQUIRE(response.ok());
+  CHECK(response->status == 200);
+  CHECK(response->body == events);
+}
+
+TEST_CASE("an unframed answer that is reset is not passed on as complete",
+          "[bytes]") {
+  ForwardFixture fixture;
+  PublishUnsafeRoute(fixture);
+  const size_t size = GENERATE(6, 300'000);
+  RawAnswer answer{RawHead("r-1", kUnframed) + std::string(size, 'a')};
+  answer.reset = true;
+  fixture.AddRawUpstream("u-1", "write", std::move(answer));
+  const auto response = fixture.SendRequest(CallerRequestFor("write", "r-1"));
+  // Only an answer that was not begun can be replaced by a failure.
+  CHECK((!response.ok() || response->status == 502));
+}
+
+TEST_CASE("a stream that ends within an event does not look complete",
+          "[bytes]") {
+  ForwardFixture fixture("draft", RequestKind::kGeneration);
+  const std::string framing = GENERATE(as<std::string>(), kUnframed, kChunked);
+  std::string body = EventText(1) + "id: 2\nda";
+  if (framing == kChunked) {
+    REQUIRE(body.size() == 0x17);
+    body = "17\r\n" + body + "\r\n0\r\n\r\n";
+  }
+  fixture.AddRawUpstream("u-1", "draft", RawHead("r-1", framing) + body);
+  CHECK_FALSE(fixture.SendRequest(CallerRequestFor("draft", "r-1")).ok());
+  CHECK(fixture.loads.own_loads().empty());
+}
+
+}  // namespace
+}  // namespace dandelion::test
