Limit what is skipped of answers to other requests

Callers: a request whose connection delivered an endless answer to another request was held until its deadline and then got 504, with a slot taken all the while.

Cause: CallUpstream read answers that name another request to their end, however long or many they were; only the deadline closed the connection.

Change: at most 16 such answers and 4 MiB of their bodies are skipped on one connection. Past that the send ends as broken: 502, or a retry where the route allows one, and the upstream's health is told.

--- a/src/relay/upstream_call.cc
+++ b/src/relay/upstream_call.cc
@@ -18,22 +18,30 @@
 // upstream may answer a longer request before it has read it, so the answer is
 // read while the request is sent.
 constexpr size_t kMaxSequentialBody = 2 * 1024;
+// Answers to other requests that are skipped on one connection, and bytes of
+// their bodies in all.
+constexpr int kMaxSkippedAnswers = 16;
+constexpr size_t kMaxSkippedBytes = 4 * 1024 * 1024;
 
 bool IsSuccess(int status) {
   return status >= kFirstSuccess && status <= kLastSuccess;
 }
 
-// Reads and discards the rest of an answer. Returns false if that fails.
-Task<bool> SkipBody(http::Connection& connection, Millis timeout) {
+// Reads and discards the rest of an answer, and subtracts its length from
+// `bytes_left`. Returns false if reading fails or the answer is longer.
+Task<bool> SkipBody(http::Connection& connection,
+                    Millis timeout,
+                    size_t* bytes_left) {
   for (;;) {
     const absl::StatusOr<std::string_view> piece =
         co_await connection.ReadSome(timeout);
-    if (!piece.ok()) {
+    if (!piece.ok() || piece->size() > *bytes_left) {
       co_return false;
     }
     if (piece->empty()) {
       co_return true;
     }
+    *bytes_left -= piece->size();
   }
 }
 
@@ -91,16 +99,21 @@
   reply.end = SendOutcome::kBroken;
   absl::StatusOr<http::Response> head =
       co_await SendAndReadHead(*reply.connection, call);
-  while (head.ok()) {
+  size_t bytes_left = kMaxSkippedBytes;
+  for (int skipped = 0; head.ok(); ++skipped) {
     reply.answer = protocol.parse_response_head(*head);
     const bool for_other_request =
         !reply.answer.request.empty() && reply.answer.request != call.id;
     if (!for_other_request) {
       break;
     }
-    const bool skipped =
-        co_await SkipBody(*reply.connection, call.response_timeout);
-    if (!skipped) {
+    if (skipped == kMaxSkippedAnswers) {
+      reply.reason = "too many answers to other requests";
+      co_return reply;
+    }
+    const bool read_to_end = co_await SkipBody(
+        *reply.connection, call.response_timeout, &bytes_left);
+    if (!read_to_end) {
       reply.reason = "the answer to another request could not be skipped";
       co_return reply;
     }
--- a/src/relay/upstream_call.h
+++ b/src/relay/upstream_call.h
@@ -16,7 +16,7 @@
 struct UpstreamCall {
   boost::asio::ip::tcp::endpoint address;
   http::Request request;
-  /// Answers that name another request are skipped.
+  /// Answers that name another request are skipped, up to a limit.
   base::RequestId id;
   base::Millis connect_timeout{0};
   /// Timeout of each send or read until the answer's head has arrived.
--- a/test/upstream-bytes-test.cc
+++ b/test/upstream-bytes-test.cc
@@ -17,6 +17,7 @@
 constexpr char kUnframed[] = "Connection: close\r\n";
 // Longer than any test waits.
 constexpr Millis kLongTime{60'000};
+constexpr size_t kRepeatedPiece = 16 * 1024;
 
 std::string EventText(int64_t id) {
   return "id: " + std::to_string(id) + "\ndata: x\n\n";
@@ -30,6 +31,39 @@
 
 // Bytes that are no answer and come without end.
 
+TEST_CASE("an answer without end to another request is not read to its end",
+          "[bytes]") {
+  ForwardFixture fixture;
+  PublishUnsafeRoute(fixture);
+  const std::string framing = GENERATE(as<std::string>(), kUnframed, kChunked);
+  RawAnswer answer{RawHead("r-0", framing)};
+  answer.repeated = framing == kChunked
+                        ? "4000\r\n" + std::string(0x4000, 'x') + "\r\n"
+                        : std::string(kRepeatedPiece, 'x');
+  const RawUpstream& upstream =
+      fixture.AddRawUpstream("u-1", "write", std::move(answer));
+  const auto response =
+      fixture.SendRequest(CallerRequestFor("write", "r-1", kLongTime));
+  REQUIRE(response.ok());
+  CHECK(response->status == 502);
+  CHECK(fixture.RunUntil([&upstream] { return upstream.cut() == 1; }));
+  CHECK(fixture.loads.own_loads().empty());
+}
+
+TEST_CASE("answers without end to other requests are not all read", "[bytes]") {
+  ForwardFixture fixture;
+  PublishUnsafeRoute(fixture);
+  RawAnswer answer;
+  answer.repeated = RawAnswerTo("r-0", "");
+  const RawUpstream& upstream =
+      fixture.AddRawUpstream("u-1", "write", std::move(answer));
+  const auto response =
+      fixture.SendRequest(CallerRequestFor("write", "r-1", kLongTime));
+  REQUIRE(response.ok());
+  CHECK(response->status == 502);
+  CHECK(fixture.RunUntil([&upstream] { return upstream.cut() == 1; }));
+}
+
 TEST_CASE("a head without end is not read to its end", "[bytes]") {
   ForwardFixture fixture;
   PublishUnsafeRoute(fixture);
