Bound the bytes that await the response parser

Callers: memory of both daemons grew with an upstream that sent a chunk's size line, or a trailer, without end; the request was held until its deadline.

Cause: the parser limits a head, but not the lines around chunks, and the buffer before it had no limit.

Change: the buffer holds at most 64 KiB. When the parser can't consume what it holds, the read fails and the connection is closed.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -120,6 +120,9 @@
 
  private:
   static constexpr size_t kReadBufferBytes = 16 * 1024;
+  // Bytes that are buffered until the parser can consume them. The parser
+  // itself limits a head, but not a chunk's size line or trailer.
+  static constexpr size_t kMaxUnparsedBytes = 64 * 1024;
 
   void ResetParser() {
     parser_.emplace();
@@ -134,7 +137,7 @@
 
   tcp::endpoint endpoint_;
   beast::tcp_stream stream_;
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{kMaxUnparsedBytes};
   boost::optional<bhttp::response_parser<bhttp::buffer_body>> parser_;
   std::string read_buffer_ = std::string(kReadBufferBytes, '\0');
   bool skip_body_ = false;
--- a/test/upstream-bytes-test.cc
+++ b/test/upstream-bytes-test.cc
@@ -81,6 +81,22 @@
   CHECK(fixture.health.FailureRate(base::UpstreamId("u-1")) > 0);
 }
 
+TEST_CASE("a chunk's size line or trailer without end is not buffered",
+          "[bytes]") {
+  ForwardFixture fixture;
+  PublishUnsafeRoute(fixture);
+  RawAnswer answer{RawHead("r-1", kChunked) +
+                   GENERATE(as<std::string>(), "5;", "0\r\nX-Name: ")};
+  answer.repeated = std::string(kRepeatedPiece, 'x');
+  const RawUpstream& upstream =
+      fixture.AddRawUpstream("u-1", "write", std::move(answer));
+  const auto response =
+      fixture.SendRequest(CallerRequestFor("write", "r-1", kLongTime));
+  REQUIRE(response.ok());
+  CHECK(response->status == 502);
+  CHECK(fixture.RunUntil([&upstream] { return upstream.cut() == 1; }));
+}
+
 // Answers without length or chunks.
 
 TEST_CASE("an unframed plain answer is passed on completely", "[bytes]") {
