Skip interim responses of upstreams

Callers: where an upstream sent "100 Continue" before its answer, the caller got status 100 without a body as its answer.

Cause: ReadHead returned the first head, whatever its status.

Change: up to 8 heads with a status of 1xx are skipped within the time for the head. More of them, or 101, fail the read.

Evidence: both tests failed before, with status 100 in place of 200 and of 502.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -38,6 +38,13 @@
                    "check that the peer is running and reachable");
 }
 
+// Interim responses (RFC 9110, section 15.2) precede the answer.
+constexpr unsigned kStatusClass = 100;
+constexpr unsigned kInterimClass = 1;
+constexpr unsigned kSwitchingProtocols = 101;
+// Interim responses that may precede one answer.
+constexpr int kMaxInterimHeads = 8;
+
 class BeastConnection : public Connection {
  public:
   BeastConnection(tcp::endpoint endpoint, beast::tcp_stream stream)
@@ -73,10 +80,24 @@
       ResetParser();
     }
     SetTimeout(timeout);
-    const auto [error, size] =
-        co_await bhttp::async_read_header(stream_, buffer_, *parser_, kNoThrow);
-    if (error) {
-      co_return ConnectionError(endpoint_, error);
+    for (int interim_heads = 0;; ++interim_heads) {
+      const auto [error, size] = co_await bhttp::async_read_header(
+          stream_, buffer_, *parser_, kNoThrow);
+      if (error) {
+        co_return ConnectionError(endpoint_, error);
+      }
+      const unsigned status = parser_->get().result_int();
+      if (status / kStatusClass != kInterimClass) {
+        break;
+      }
+      if (status == kSwitchingProtocols || interim_heads == kMaxInterimHeads) {
+        co_return MakeError(
+            ErrorKind::kBadAnswer,
+            absl::StrCat(EndpointText(endpoint_),
+                         ": an interim response takes the place of an answer"),
+            "check that the peer speaks HTTP/1.1");
+      }
+      ResetParser();
     }
     Response head;
     head.status = parser_->get().result_int();
--- a/test/upstream-bytes-test.cc
+++ b/test/upstream-bytes-test.cc
@@ -97,6 +97,32 @@
   CHECK(fixture.RunUntil([&upstream] { return upstream.cut() == 1; }));
 }
 
+TEST_CASE("an interim head is not passed on as the answer", "[bytes]") {
+  ForwardFixture fixture;
+  PublishUnsafeRoute(fixture);
+  const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+  fixture.AddRawUpstream("u-1", "write", interim + RawAnswerTo("r-1", "own"));
+  const auto response =
+      fixture.SendRequest(CallerRequestFor("write", "r-1", kLongTime));
+  REQUIRE(response.ok());
+  CHECK(response->status == 200);
+  CHECK(response->body == "own");
+}
+
+TEST_CASE("interim heads without end are not all read", "[bytes]") {
+  ForwardFixture fixture;
+  PublishUnsafeRoute(fixture);
+  RawAnswer answer;
+  answer.repeated = "HTTP/1.1 100 Continue\r\n\r\n";
+  const RawUpstream& upstream =
+      fixture.AddRawUpstream("u-1", "write", std::move(answer));
+  const auto response =
+      fixture.SendRequest(CallerRequestFor("write", "r-1", kLongTime));
+  REQUIRE(response.ok());
+  CHECK(response->status == 502);
+  CHECK(fixture.RunUntil([&upstream] { return upstream.cut() == 1; }));
+}
+
 // Answers without length or chunks.
 
 TEST_CASE("an unframed plain answer is passed on completely", "[bytes]") {
