Do not reuse a connection whose end ended its answer

Callers: a fetch after one with an unframed answer failed, with an unknown outcome: reads of the store and of the platform, load reports, requests on idempotent routes.

Cause: IsReusable asked the message, which considers the version and the Connection header only. A connection that the peer had closed to end its answer was kept as idle.

Change: it asks the parser, which also considers how the body ended.

Evidence: the test failed before; the second fetch got no response.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -133,8 +133,9 @@
   bool MayHaveBeenSent() const override { return may_have_been_sent_; }
 
   bool IsReusable() const override {
-    return response_complete_ && parser_->get().keep_alive() &&
-           buffer_.size() == 0;
+    // Unlike the message's `keep_alive`, the parser's is false for a body that
+    // ends with its connection.
+    return response_complete_ && parser_->keep_alive() && buffer_.size() == 0;
   }
 
   void Close() override { stream_.close(); }
--- a/test/upstream-bytes-test.cc
+++ b/test/upstream-bytes-test.cc
@@ -29,6 +29,20 @@
   fixture.Publish();
 }
 
+template <typename T>
+Task<void> StoreResult(Task<T> task, std::shared_ptr<std::optional<T>> result) {
+  result->emplace(co_await std::move(task));
+}
+
+/// Runs `task` to its end. Returns nothing if it does not end.
+template <typename T>
+std::optional<T> RunTask(ForwardFixture& fixture, Task<T> task) {
+  const auto result = std::make_shared<std::optional<T>>();
+  base::Spawn(fixture.executor(), StoreResult(std::move(task), result));
+  fixture.RunUntil([&result] { return result->has_value(); });
+  return *result;
+}
+
 // Bytes that are no answer and come without end.
 
 TEST_CASE("an answer without end to another request is not read to its end",
@@ -175,5 +189,23 @@
   CHECK(fixture.loads.own_loads().empty());
 }
 
+TEST_CASE("a connection whose end ended an answer is not used again",
+          "[bytes]") {
+  ForwardFixture fixture;
+  // Without "Connection: close", only the missing length shows how it ends.
+  const RawUpstream upstream(fixture.executor(),
+                             RawAnswer{RawHead("r-1", "") + "whole"});
+  http::Client client;
+  for (int i = 1; i <= 2; ++i) {
+    const auto result = RunTask(
+        fixture,
+        client.Fetch(upstream.address(), http::Request(), http::FetchLimits()));
+    REQUIRE(result);
+    REQUIRE(result->response.ok());
+    CHECK(result->response->body == "whole");
+    CHECK(upstream.connections() == i);
+  }
+}
+
 }  // namespace
 }  // namespace dandelion::test
