Limit the length of a stream's event

Callers: memory of a platform daemon grew with an engine that sent an event without end, and the request kept its place until its deadline, also where another engine could have gone on.

Cause: the incomplete event at the end of a stream was buffered without a limit.

Change: a stream whose event exceeds 1 MiB is broken. It is closed and resumed where the route allows, else cut; a request that was sent no event gets 502.

Evidence: both tests failed before; within 10 s the caller had no answer (64 MiB were sent). The part of the second one that ends the stream within an event passed before.

--- a/src/relay/stream_forward.cc
+++ b/src/relay/stream_forward.cc
@@ -35,6 +35,8 @@
 constexpr int64_t kShortOutputTokens = 128;
 // Longest wait for the result of the final copy after the stream broke.
 constexpr Millis kFinalCopyTimeout{1500};
+// A stream with a longer event is broken.
+constexpr size_t kMaxEventBytes = 1024 * 1024;
 
 /// Forwards one generation, with retries and switches to KV cache copies.
 class StreamForwarder {
@@ -237,6 +239,13 @@
       if (!passed) {
         co_return call_->EndReasonOr(SendOutcome::kCallerGone);
       }
+      if (splitter_.incomplete().size() > kMaxEventBytes) {
+        result_.reason = "an event of the stream exceeds the size limit";
+        services_.health.RecordAttempt(generation_->place.upstream,
+                                       routing::AttemptOutcome::kFailure,
+                                       services_.clock.Now());
+        co_return SendOutcome::kBroken;
+      }
     }
   }
 
--- a/test/upstream-bytes-test.cc
+++ b/test/upstream-bytes-test.cc
@@ -23,6 +23,16 @@
   return "id: " + std::to_string(id) + "\ndata: x\n\n";
 }
 
+/// A route on which a request may run twice or a stream may be resumed.
+void PublishRetryableRoute(ForwardFixture& fixture, RequestKind kind) {
+  fleet::Route& route = fixture.AddRoute("draft", kind);
+  route.resumable = true;
+  route.max_upstreams = 2;
+  route.timeout = kLongTime;
+  route.answer_target = kLongTime;
+  fixture.Publish();
+}
+
 /// Publishes a route whose requests may run once.
 void PublishUnsafeRoute(ForwardFixture& fixture) {
   fixture.AddRoute("write", RequestKind::kNonIdempotent).timeout = kLongTime;
@@ -137,6 +147,25 @@
   CHECK(fixture.RunUntil([&upstream] { return upstream.cut() == 1; }));
 }
 
+TEST_CASE("an event without end is not buffered", "[bytes]") {
+  ForwardFixture fixture;
+  fixture.AddRoute("draft", RequestKind::kGeneration).timeout = kLongTime;
+  fixture.Publish();
+  const bool started = GENERATE(false, true);
+  RawAnswer answer{RawHead("r-1", kUnframed) + (started ? EventText(1) : "")};
+  answer.repeated = std::string(kRepeatedPiece, 'x');
+  const RawUpstream& upstream =
+      fixture.AddRawUpstream("u-1", "draft", std::move(answer));
+  const auto response =
+      fixture.SendRequest(CallerRequestFor("draft", "r-1", kLongTime));
+  CHECK(fixture.RunUntil([&upstream] { return upstream.cut() == 1; }));
+  CHECK(response.ok() == !started);
+  if (response.ok()) {
+    CHECK(response->status == 502);
+  }
+  CHECK(fixture.loads.own_loads().empty());
+}
+
 // Answers without length or chunks.
 
 TEST_CASE("an unframed plain answer is passed on completely", "[bytes]") {
@@ -175,6 +204,39 @@
   CHECK((!response.ok() || response->status == 502));
 }
 
+TEST_CASE("a stream that ends within an event or never ends it is resumed",
+          "[bytes]") {
+  ForwardFixture fixture;
+  PublishRetryableRoute(fixture, RequestKind::kGeneration);
+  const bool endless = GENERATE(false, true);
+  int calls = 0;
+  const auto handler = [&](http::Exchange& exchange) -> Task<void> {
+    const bool first = ++calls == 1;
+    http::Response head = SealedResponse(exchange.request(), "");
+    absl::Status written = co_await exchange.StartStream(std::move(head));
+    const std::string events =
+        first ? EventText(1) + "id: 2\nda" : EventText(2);
+    written = co_await exchange.Write(events);
+    const std::string piece(kRepeatedPiece, 'x');
+    for (size_t sent = 0; first && endless && written.ok() &&
+                          sent < RawUpstream::kMaxRepeatedBytes;
+         sent += piece.size()) {
+      written = co_await exchange.Write(piece);
+    }
+    if (written.ok()) {
+      (void)co_await exchange.Finish();
+    }
+  };
+  FakeUpstream& first = fixture.AddUpstream("u-1", "draft", handler);
+  FakeUpstream& second = fixture.AddUpstream("u-2", "draft", handler);
+  const auto response =
+      fixture.SendRequest(CallerRequestFor("draft", "r-1", kLongTime));
+  REQUIRE(response.ok());
+  CHECK(response->body == EventText(1) + EventText(2));
+  CHECK(first.seen().size() == 1);
+  CHECK(second.seen().size() == 1);
+}
+
 TEST_CASE("a stream that ends within an event does not look complete",
           "[bytes]") {
   ForwardFixture fixture("draft", RequestKind::kGeneration);
