Close a broken send before its retry waits for a place

Callers: while a retry waited for a place, the connection of the failed send stayed open, and the upstream went on with work that nobody would read.

Cause: the reply of the failed send, which owns the connection, lives until the wait for the next place has ended.

Change: CallUpstream closes the connection of every send that did not end with an answer, and a body that broke closes its own.

--- a/src/relay/plain_forward.cc
+++ b/src/relay/plain_forward.cc
@@ -98,6 +98,7 @@
   reply.body = co_await ReadShortBody(
       *reply.head.connection, call->OperationTimeout(services.clock.Now()));
   if (reply.body.broken) {
+    reply.head.connection->Close();
     reply.head.end = call->EndReasonOr(SendOutcome::kBroken);
     reply.head.reason = "the connection failed before the answer was complete";
   }
--- a/src/relay/upstream_call.cc
+++ b/src/relay/upstream_call.cc
@@ -83,10 +83,9 @@
   co_return std::move(head);
 }
 
-}  // namespace
-
-Task<UpstreamReply> CallUpstream(const PlatformProtocol& protocol,
-                                 UpstreamCall call) {
+// Calls an upstream. The connection may still be open when this failed.
+Task<UpstreamReply> ConnectAndCall(const PlatformProtocol& protocol,
+                                   UpstreamCall call) {
   UpstreamReply reply;
   absl::StatusOr<std::unique_ptr<http::Connection>> connection =
       co_await http::Connect(call.address, call.connect_timeout);
@@ -128,4 +127,15 @@
   co_return reply;
 }
 
+}  // namespace
+
+Task<UpstreamReply> CallUpstream(const PlatformProtocol& protocol,
+                                 UpstreamCall call) {
+  UpstreamReply reply = co_await ConnectAndCall(protocol, std::move(call));
+  if (reply.connection && reply.end != SendOutcome::kAnswered) {
+    reply.connection->Close();
+  }
+  co_return reply;
+}
+
 }  // namespace dandelion::relay
--- a/src/relay/upstream_call.h
+++ b/src/relay/upstream_call.h
@@ -27,7 +27,7 @@
 };
 
 /// Result of a call. With `kAnswered`, the next read from `connection` returns
-/// the start of the body.
+/// the start of the body; with any other end the connection is closed.
 struct UpstreamReply {
   SendOutcome end = SendOutcome::kNotSent;
   std::unique_ptr<http::Connection> connection;
--- a/test/upstream-bytes-test.cc
+++ b/test/upstream-bytes-test.cc
@@ -23,6 +23,11 @@
   return "id: " + std::to_string(id) + "\ndata: x\n\n";
 }
 
+Task<void> RespondWithAnswer(http::Exchange& exchange) {
+  http::Response response = SealedResponse(exchange.request(), "answer");
+  (void)co_await exchange.Respond(std::move(response));
+}
+
 /// A route on which a request may run twice or a stream may be resumed.
 void PublishRetryableRoute(ForwardFixture& fixture, RequestKind kind) {
   fleet::Route& route = fixture.AddRoute("draft", kind);
@@ -105,6 +110,38 @@
   CHECK(fixture.health.FailureRate(base::UpstreamId("u-1")) > 0);
 }
 
+TEST_CASE("a connection without an answer is closed before a retry waits",
+          "[bytes]") {
+  ForwardFixture fixture;
+  PublishRetryableRoute(fixture, RequestKind::kIdempotent);
+  const bool has_head = GENERATE(false, true);
+  RawAnswer answer{has_head ? RawHead("r-1", kChunked) + "no size\r\n" : ""};
+  answer.repeated = std::string(kRepeatedPiece, 'x');
+  const RawUpstream& upstream =
+      fixture.AddRawUpstream("u-1", "draft", std::move(answer));
+  fixture.AddUpstream("u-2", "draft", RespondWithAnswer);
+  std::optional<routing::LoadReservation> occupied(std::in_place, fixture.loads,
+                                                   base::UpstreamId("u-2"),
+                                                   routing::Load{8, 0, 0, 0});
+  std::optional<http::FetchResult> result;
+  http::Client client;
+  const auto send = [&]() -> Task<void> {
+    http::FetchLimits limits;
+    limits.response_timeout = kLongTime;
+    result = co_await client.Fetch(
+        {boost::asio::ip::address_v4::loopback(), fixture.port()},
+        CallerRequestFor("draft", "r-1", kLongTime), limits);
+  };
+  base::Spawn(fixture.executor(), send());
+  CHECK(fixture.RunUntil([&upstream] { return upstream.cut() == 1; }));
+  CHECK_FALSE(result);
+  occupied.reset();
+  fixture.placer->DispatchWaiting();
+  REQUIRE(fixture.RunUntil([&result] { return result.has_value(); }));
+  REQUIRE(result->response.ok());
+  CHECK(result->response->body == "answer");
+}
+
 TEST_CASE("a chunk's size line or trailer without end is not buffered",
           "[bytes]") {
   ForwardFixture fixture;
