Count a stream that ends within an event as a failure

Callers: engines that broke their streams off within an event, but closed their connections in order, were chosen like sound ones.

Change: all ends of a stream that broke are recorded in one place.

--- a/src/relay/stream_forward.cc
+++ b/src/relay/stream_forward.cc
@@ -226,11 +226,7 @@
           co_await reply.connection->ReadSome(
               call_->OperationTimeout(services_.clock.Now()));
       if (!piece.ok()) {
-        result_.reason = std::string(piece.status().message());
-        services_.health.RecordAttempt(generation_->place.upstream,
-                                       routing::AttemptOutcome::kFailure,
-                                       services_.clock.Now());
-        co_return call_->EndReasonOr(SendOutcome::kBroken);
+        co_return StreamBroke(std::string(piece.status().message()));
       }
       if (piece->empty()) {
         co_return co_await FinishStream(reply);
@@ -240,15 +236,20 @@
         co_return call_->EndReasonOr(SendOutcome::kCallerGone);
       }
       if (splitter_.incomplete().size() > kMaxEventBytes) {
-        result_.reason = "an event of the stream exceeds the size limit";
-        services_.health.RecordAttempt(generation_->place.upstream,
-                                       routing::AttemptOutcome::kFailure,
-                                       services_.clock.Now());
-        co_return SendOutcome::kBroken;
+        co_return StreamBroke("an event of the stream exceeds the size limit");
       }
     }
   }
 
+  // Ends a stream that broke, and records the engine's failure.
+  SendOutcome StreamBroke(std::string reason) {
+    result_.reason = std::move(reason);
+    services_.health.RecordAttempt(generation_->place.upstream,
+                                   routing::AttemptOutcome::kFailure,
+                                   services_.clock.Now());
+    return call_->EndReasonOr(SendOutcome::kBroken);
+  }
+
   // Forwards the events that `piece` completes. Returns false if writing to the
   // caller fails.
   Task<bool> PassPiece(UpstreamReply& reply,
@@ -311,8 +312,7 @@
   // Ends the caller's answer, unless the stream ended within an event.
   Task<SendOutcome> FinishStream(UpstreamReply& reply) {
     if (!splitter_.incomplete().empty()) {
-      result_.reason = "the stream ended in the middle of an event";
-      co_return SendOutcome::kBroken;
+      co_return StreamBroke("the stream ended in the middle of an event");
     }
     if (!started_) {
       const absl::Status head = co_await StartAnswer(reply);
--- a/test/upstream-bytes-test.cc
+++ b/test/upstream-bytes-test.cc
@@ -288,6 +288,15 @@
   CHECK(fixture.loads.own_loads().empty());
 }
 
+TEST_CASE("a stream that ends within an event counts as the engine's failure",
+          "[bytes]") {
+  ForwardFixture fixture("draft", RequestKind::kGeneration);
+  fixture.AddRawUpstream(
+      "u-1", "draft", RawHead("r-1", kUnframed) + EventText(1) + "id: 2\nda");
+  CHECK_FALSE(fixture.SendRequest(CallerRequestFor("draft", "r-1")).ok());
+  CHECK(fixture.health.FailureRate(base::UpstreamId("u-1")) > 0);
+}
+
 TEST_CASE("a connection whose end ended an answer is not used again",
           "[bytes]") {
   ForwardFixture fixture;
