Do not count a caller's disconnect as an engine's failure

Callers: engines whose callers gave up were avoided as if they had failed.

Cause: the daemon closes the engine's connection when the caller has gone; the read that this fails was recorded as the engine's failure.

Change: a stream that broke is not recorded once the caller has gone, as in SendOnce.

--- a/src/relay/stream_forward.cc
+++ b/src/relay/stream_forward.cc
@@ -241,12 +241,15 @@
     }
   }
 
-  // Ends a stream that broke, and records the engine's failure.
+  // Ends a stream that broke, and records the engine's failure unless the
+  // caller has gone: then the stream was closed from here.
   SendOutcome StreamBroke(std::string reason) {
     result_.reason = std::move(reason);
-    services_.health.RecordAttempt(generation_->place.upstream,
-                                   routing::AttemptOutcome::kFailure,
-                                   services_.clock.Now());
+    if (!call_->caller_gone()) {
+      services_.health.RecordAttempt(generation_->place.upstream,
+                                     routing::AttemptOutcome::kFailure,
+                                     services_.clock.Now());
+    }
     return call_->EndReasonOr(SendOutcome::kBroken);
   }
 
--- a/test/upstream-bytes-test.cc
+++ b/test/upstream-bytes-test.cc
@@ -297,6 +297,31 @@
   CHECK(fixture.health.FailureRate(base::UpstreamId("u-1")) > 0);
 }
 
+TEST_CASE("a caller's disconnect does not count as the engine's failure",
+          "[bytes]") {
+  ForwardFixture fixture("draft", RequestKind::kGeneration);
+  RawAnswer answer{RawHead("r-1", kUnframed)};
+  answer.repeated = EventText(1);
+  answer.pause = Millis(5);
+  const RawUpstream& upstream =
+      fixture.AddRawUpstream("u-1", "draft", std::move(answer));
+  boost::asio::ip::tcp::socket caller(fixture.executor());
+  caller.connect({boost::asio::ip::address_v4::loopback(), fixture.port()});
+  const std::string request =
+      "GET /draft/1 HTTP/1.1\r\nHost: front.example\r\n"
+      "X-Dandeliondyke-Request-Id: r-1\r\n\r\n";
+  boost::asio::write(caller, boost::asio::buffer(request));
+  std::string received(1, '\0');
+  bool started = false;
+  boost::asio::async_read(caller, boost::asio::buffer(received),
+                          [&started](auto, size_t) { started = true; });
+  REQUIRE(fixture.RunUntil([&started] { return started; }));
+  caller.close();
+  CHECK(fixture.RunUntil([&upstream] { return upstream.cut() == 1; }));
+  CHECK(fixture.RunUntil([&] { return fixture.loads.own_loads().empty(); }));
+  CHECK(fixture.health.FailureRate(base::UpstreamId("u-1")) == 0);
+}
+
 TEST_CASE("a connection whose end ended an answer is not used again",
           "[bytes]") {
   ForwardFixture fixture;
