Count a plain answer that breaks off as a failure

Callers: services whose answers broke off within the body were chosen like sound ones.

Cause: the head had been recorded as a success, and what came after it was not recorded.

Change: a read of the body that fails is recorded, unless the caller has gone. The success of the head still stands before it, so the failure rate rises, but such failures alone do not eject an upstream.

--- a/src/relay/plain_forward.cc
+++ b/src/relay/plain_forward.cc
@@ -80,6 +80,17 @@
   return request;
 }
 
+// Records the failure of an upstream whose answer broke off, unless the caller
+// has gone: then the connection was closed from here.
+void RecordBrokenAnswer(const ForwardServices& services,
+                        const ForwardCall& call,
+                        const base::UpstreamId& upstream) {
+  if (!call.caller_gone()) {
+    services.health.RecordAttempt(upstream, routing::AttemptOutcome::kFailure,
+                                  services.clock.Now());
+  }
+}
+
 // An answer and its body, as far as it was buffered.
 struct BufferedReply {
   UpstreamReply head;
@@ -99,6 +110,7 @@
       *reply.head.connection, call->OperationTimeout(services.clock.Now()));
   if (reply.body.broken) {
     reply.head.connection->Close();
+    RecordBrokenAnswer(services, *call, place.upstream);
     reply.head.end = call->EndReasonOr(SendOutcome::kBroken);
     reply.head.reason = "the connection failed before the answer was complete";
   }
@@ -123,7 +135,8 @@
     const bool failed = reply.head.end == SendOutcome::kAnswered &&
                         reply.head.head.status >= kFirstServerError &&
                         call->admitted.route.MayRunTwice();
-    request.excluded.insert(place->upstream);
+    const base::UpstreamId upstream = place->upstream;
+    request.excluded.insert(upstream);
     place.reset();
     if (failed) {
       place = PlaceRetry(services, *call, request, reply.head.end);
@@ -134,7 +147,7 @@
       place = std::move(wait.place);
     }
     if (!place && reply.head.end == SendOutcome::kAnswered) {
-      co_return co_await PassAnswer(services, call, reply.head,
+      co_return co_await PassAnswer(services, call, upstream, reply.head,
                                     std::move(reply.body.bytes));
     }
     call->SetConnection(nullptr);
@@ -146,6 +159,7 @@
 
 Task<ForwardResult> PassAnswer(const ForwardServices& services,
                                ForwardCallPtr call,
+                               base::UpstreamId upstream,
                                UpstreamReply& reply,
                                std::string first) {
   ForwardResult result;
@@ -179,6 +193,9 @@
     (void)co_await call->exchange.Finish();
     co_return result;
   }
+  if (!piece.ok()) {
+    RecordBrokenAnswer(services, *call, upstream);
+  }
   result.reason = written.ok()
                       ? "the connection failed before the answer was complete"
                       : "the answer could not be written to the caller";
--- a/src/relay/plain_forward.h
+++ b/src/relay/plain_forward.h
@@ -11,10 +11,11 @@
                                        ForwardCallPtr call,
                                        fleet::Pool pool);
 
-/// Passes an answer of any length to the caller. `first` is the part of the
-/// body that was already read from the connection.
+/// Passes an answer of any length from `upstream` to the caller. `first` is the
+/// part of the body that was already read from the connection.
 base::Task<ForwardResult> PassAnswer(const ForwardServices& services,
                                      ForwardCallPtr call,
+                                     base::UpstreamId upstream,
                                      UpstreamReply& reply,
                                      std::string first);
 
--- a/src/relay/stream_forward.cc
+++ b/src/relay/stream_forward.cc
@@ -209,7 +209,8 @@
     next_place_ =
         PlaceRetry(services_, *call_, request_, SendOutcome::kAnswered);
     if (!started_ && !next_place_) {
-      result_ = co_await PassAnswer(services_, call_, reply, "");
+      result_ = co_await PassAnswer(services_, call_,
+                                    generation_->place.upstream, reply, "");
       done_ = true;
       co_return SendOutcome::kAnswered;
     }
--- a/test/upstream-bytes-test.cc
+++ b/test/upstream-bytes-test.cc
@@ -297,6 +297,19 @@
   CHECK(fixture.health.FailureRate(base::UpstreamId("u-1")) > 0);
 }
 
+TEST_CASE("an answer that breaks off counts as the upstream's failure",
+          "[bytes]") {
+  ForwardFixture fixture;
+  PublishUnsafeRoute(fixture);
+  const size_t size = GENERATE(6, 300'000);
+  fixture.AddRawUpstream(
+      "u-1", "write",
+      RawHead("r-1", "Content-Length: 400000\r\n") + std::string(size, 'a'));
+  const auto response = fixture.SendRequest(CallerRequestFor("write", "r-1"));
+  CHECK((!response.ok() || response->status == 502));
+  CHECK(fixture.health.FailureRate(base::UpstreamId("u-1")) > 0);
+}
+
 TEST_CASE("a caller's disconnect does not count as the engine's failure",
           "[bytes]") {
   ForwardFixture fixture("draft", RequestKind::kGeneration);
