Limit the time of a whole fetch

Callers: an answer that trickled held a fetch for as long as bytes came: an engine's report, a read of the store, a request to a service past its deadline.

Cause: the timeout began anew with each read, and within a read of the body with each part of a chunk's size line.

Change: a fetch has a total timeout. The timeout of a read of the body covers all of the read.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -1,5 +1,6 @@
 #include "http/client.h"
 
+#include <algorithm>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
@@ -109,13 +110,13 @@
   }
 
   Task<absl::StatusOr<std::string_view>> ReadSome(Millis timeout) override {
+    SetTimeout(timeout);
     // A read can complete without body bytes, for example after a chunk's size
     // line.
     while (!parser_->is_done()) {
       auto& body = parser_->get().body();
       body.data = read_buffer_.data();
       body.size = read_buffer_.size();
-      SetTimeout(timeout);
       const auto [error, size] =
           co_await bhttp::async_read_some(stream_, buffer_, *parser_, kNoThrow);
       if (error && error != bhttp::error::need_buffer) {
@@ -170,19 +171,28 @@
 Task<absl::StatusOr<Response>> SendAndReadResponse(Connection& connection,
                                                    const Request& request,
                                                    const FetchLimits& limits) {
-  const absl::Status sent =
-      co_await connection.Send(request, limits.response_timeout);
+  const base::Clock clock = base::Clock::Monotonic();
+  const Millis end = clock.Now() + limits.total_timeout;
+  const auto step_timeout = [&] {
+    return std::min(limits.response_timeout, end - clock.Now());
+  };
+  const absl::Status sent = co_await connection.Send(request, step_timeout());
   if (!sent.ok()) {
     co_return sent;
   }
-  absl::StatusOr<Response> head =
-      co_await connection.ReadHead(limits.response_timeout);
+  absl::StatusOr<Response> head = co_await connection.ReadHead(step_timeout());
   if (!head.ok()) {
     co_return head;
   }
   for (;;) {
+    const Millis timeout = step_timeout();
+    if (timeout <= Millis(0)) {
+      co_return MakeError(ErrorKind::kTimeout,
+                          "the response was not complete in time",
+                          "check the peer and the network path to it");
+    }
     const absl::StatusOr<std::string_view> chunk =
-        co_await connection.ReadSome(limits.response_timeout);
+        co_await connection.ReadSome(timeout);
     if (!chunk.ok()) {
       co_return chunk.status();
     }
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -31,7 +31,8 @@
   virtual base::Task<absl::StatusOr<Response>> ReadHead(
       base::Millis timeout) = 0;
   /// Reads the next bytes of the body; an empty view marks its end. The view is
-  /// valid until the next read. Fails if nothing arrives within `timeout`.
+  /// valid until the next read. Fails if no byte of the body arrives within
+  /// `timeout`.
   virtual base::Task<absl::StatusOr<std::string_view>> ReadSome(
       base::Millis timeout) = 0;
   /// Whether any byte of the request may have reached the server.
@@ -53,6 +54,8 @@
   base::Millis connect_timeout = base::Millis(500);
   /// Limit of each step: sending, reading the head, and each read of the body.
   base::Millis response_timeout = base::Millis(10'000);
+  /// Limit of the whole exchange once connected.
+  base::Millis total_timeout = base::Millis(60'000);
   /// A longer response body fails with `kTooLarge`.
   size_t body_bytes = 16 * 1024 * 1024;
   /// Opens a new connection instead of reusing an idle one. Set this for a
--- a/src/platform_client/platform_client.cc
+++ b/src/platform_client/platform_client.cc
@@ -16,6 +16,7 @@
 
 constexpr Millis kConnectTimeout(500);
 constexpr Millis kResponseTimeout(2000);
+constexpr Millis kTotalTimeout(10'000);
 
 absl::Status UnreachableError(std::string_view description) {
   return base::MakeError(
@@ -27,6 +28,7 @@
   http::FetchLimits limits;
   limits.connect_timeout = kConnectTimeout;
   limits.response_timeout = kResponseTimeout;
+  limits.total_timeout = kTotalTimeout;
   constexpr size_t kMaxBodyBytes = 64U << 20U;
   limits.body_bytes = kMaxBodyBytes;
   return limits;
--- a/src/relay/service_relay.cc
+++ b/src/relay/service_relay.cc
@@ -201,6 +201,7 @@
   http::FetchLimits limits;
   limits.response_timeout =
       std::max(Millis(1), call.work.deadline - clock_.Now());
+  limits.total_timeout = limits.response_timeout;
   limits.new_connection = !call.work.route.idempotent;
   if (!attempt.empty() && !claims_.BeginSend(attempt)) {
     co_return NotRunResult(ErrorKind::kClaimUnavailable,
--- a/src/upstream/engine_client.cc
+++ b/src/upstream/engine_client.cc
@@ -214,6 +214,7 @@
   message.target = absl::StrCat("/v1/generations/", id.value());
   http::FetchLimits limits;
   limits.response_timeout = kControlTimeout;
+  limits.total_timeout = kControlTimeout;
   co_await client_.Fetch(engine, std::move(message), limits);
 }
 
@@ -224,6 +225,7 @@
   http::FetchLimits limits;
   limits.connect_timeout = kControlTimeout;
   limits.response_timeout = kControlTimeout;
+  limits.total_timeout = kControlTimeout;
   http::FetchResult result =
       co_await client_.Fetch(upstream, std::move(message), limits);
   if (!result.response.ok()) {
--- a/test/upstream-bytes-test.cc
+++ b/test/upstream-bytes-test.cc
@@ -4,11 +4,13 @@
 #include <boost/asio/write.hpp>
 #include <optional>
 
+#include "base/error.h"
 #include "test/forward-support.h"
 
 namespace dandelion::test {
 namespace {
 
+using base::ErrorKind;
 using base::Millis;
 using base::Task;
 using fleet::RequestKind;
@@ -17,6 +19,8 @@
 constexpr char kUnframed[] = "Connection: close\r\n";
 // Longer than any test waits.
 constexpr Millis kLongTime{60'000};
+// Longer than the pause between two trickling bytes.
+constexpr Millis kReadTimeout{300};
 constexpr size_t kRepeatedPiece = 16 * 1024;
 
 std::string EventText(int64_t id) {
@@ -203,6 +207,25 @@
   CHECK(fixture.loads.own_loads().empty());
 }
 
+TEST_CASE("a fetch of an answer that trickles without end is given up",
+          "[bytes]") {
+  ForwardFixture fixture;
+  const std::string framing = GENERATE(as<std::string>(), kUnframed, kChunked);
+  RawAnswer answer{RawHead("r-1", framing) + (framing == kChunked ? "5;" : "")};
+  answer.repeated = "x";
+  answer.pause = Millis(5);
+  const RawUpstream upstream(fixture.executor(), std::move(answer));
+  http::Client client;
+  http::FetchLimits limits;
+  limits.response_timeout = kReadTimeout;
+  limits.total_timeout = kReadTimeout;
+  const auto result = RunTask(
+      fixture, client.Fetch(upstream.address(), http::Request(), limits));
+  REQUIRE(result);
+  REQUIRE_FALSE(result->response.ok());
+  CHECK(base::KindOf(result->response.status()) == ErrorKind::kTimeout);
+}
+
 // Answers without length or chunks.
 
 TEST_CASE("an unframed plain answer is passed on completely", "[bytes]") {
--- a/tools/fleet_commands.cc
+++ b/tools/fleet_commands.cc
@@ -264,6 +264,7 @@
     http::Client client;
     http::FetchLimits limits;
     limits.response_timeout = Millis(600'000);
+    limits.total_timeout = limits.response_timeout;
     const http::FetchResult result =
         co_await client.Fetch(endpoints[0], request, limits);
     if (!result.response.ok()) {
