Limit the time for an engine's next token

Callers: a generation whose engine sent bytes that never made a token was held past the stall timeout and past its deadline.

Cause: the timeout of ReadNext began anew with each read.

Change: it covers the call.

Evidence: the test failed before; the read had not ended after 10 s.

--- a/src/upstream/engine_client.cc
+++ b/src/upstream/engine_client.cc
@@ -97,9 +97,17 @@
 
   Task<absl::StatusOr<TokenBatch>> ReadNext(Millis timeout) override {
     TokenBatch batch;
+    const base::Clock clock = base::Clock::Monotonic();
+    const Millis end = clock.Now() + timeout;
     while (batch.tokens.empty() && !batch.done) {
+      const Millis left = end - clock.Now();
+      if (left <= Millis(0)) {
+        co_return base::MakeError(ErrorKind::kTimeout,
+                                  "no stream event was complete in time",
+                                  "check the engine's state");
+      }
       const absl::StatusOr<std::string_view> bytes =
-          co_await connection_->ReadSome(timeout);
+          co_await connection_->ReadSome(left);
       if (!bytes.ok()) {
         co_return bytes.status();
       }
--- a/src/upstream/engine_client.h
+++ b/src/upstream/engine_client.h
@@ -46,8 +46,8 @@
 class GenerationStream {
  public:
   virtual ~GenerationStream() = default;
-  /// Waits for more tokens or the end of the answer. Fails if the engine sends
-  /// nothing within `timeout`.
+  /// Waits for more tokens or the end of the answer. Fails if neither is
+  /// complete within `timeout`.
   virtual base::Task<absl::StatusOr<TokenBatch>> ReadNext(
       base::Millis timeout) = 0;
   /// The incarnation that the engine reported; empty if it reported none.
--- a/test/upstream-bytes-test.cc
+++ b/test/upstream-bytes-test.cc
@@ -264,6 +264,20 @@
   CHECK(fixture.RunUntil([&upstream] { return upstream.cut() == 1; }));
 }
 
+TEST_CASE("an engine's event that trickles without end is given up",
+          "[bytes]") {
+  ForwardFixture fixture;
+  RawAnswer answer{kEngineHead};
+  answer.repeated = "x";
+  answer.pause = Millis(5);
+  const RawUpstream upstream(fixture.executor(), std::move(answer));
+  http::Client client;
+  const auto status =
+      RunTask(fixture, ReadGeneration(client, upstream, kReadTimeout));
+  REQUIRE(status);
+  CHECK(base::KindOf(*status) == ErrorKind::kTimeout);
+}
+
 // Answers without length or chunks.
 
 TEST_CASE("an unframed plain answer is passed on completely", "[bytes]") {
