Reject an engine's token that is not a string

Callers: an engine's event whose text is not a string ended the daemon, and with it all requests that it had in progress.

Cause: the conversion threw an exception that nothing caught.

Change: the type is checked; such an event is an invalid answer.

Evidence: the test failed before with that exception.

--- a/src/upstream/engine_client.cc
+++ b/src/upstream/engine_client.cc
@@ -77,10 +77,11 @@
       return BadAnswerError("a stream event has no numeric id");
     }
     const json body = json::parse(data, nullptr, false);
-    if (!body.is_object() || !body.contains("text")) {
+    if (!body.is_object() || !body.contains("text") ||
+        !body.at("text").is_string()) {
       return BadAnswerError("the data of a stream event has no text field");
     }
-    token.text = body.at("text");
+    token.text = body.at("text").get<std::string>();
     batch->tokens.push_back(std::move(token));
     return absl::OkStatus();
   }
--- a/test/upstream-bytes-test.cc
+++ b/test/upstream-bytes-test.cc
@@ -278,6 +278,19 @@
   CHECK(base::KindOf(*status) == ErrorKind::kTimeout);
 }
 
+TEST_CASE("an engine's event with a field of the wrong type is an error",
+          "[bytes]") {
+  ForwardFixture fixture;
+  const RawUpstream upstream(
+      fixture.executor(),
+      RawAnswer{std::string(kEngineHead) + "id: 0\ndata: {\"text\": 5}\n\n"});
+  http::Client client;
+  const auto status =
+      RunTask(fixture, ReadGeneration(client, upstream, kLongTime));
+  REQUIRE(status);
+  CHECK(base::KindOf(*status) == ErrorKind::kBadAnswer);
+}
+
 // Answers without length or chunks.
 
 TEST_CASE("an unframed plain answer is passed on completely", "[bytes]") {
