Reset an unframed answer that is aborted

Callers: a caller with HTTP/1.0 saw a stream that was cut as complete.

Cause: an answer to such a caller has no chunks and ends with its connection. Abort closed the connection in order.

Change: where only its end would end the answer, the connection is reset, also when a stop closes it.

Evidence: the test failed before: the caller read the end of the stream in place of a reset.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -127,7 +127,7 @@
 
   void Abort() override {
     broken_ = true;
-    stream_.close();
+    CloseNow();
   }
 
   void HoldOpen() override { unresponsive_ = true; }
@@ -174,7 +174,15 @@
   bool busy() const { return busy_; }
   /// Whether the next request has begun to arrive.
   bool receiving() const { return receiving_; }
-  void CloseNow() { stream_.close(); }
+  /// Closes the connection. Resets it if only its end would end the response,
+  /// so that the response does not look complete.
+  void CloseNow() {
+    if (busy_ && response_started_ && before_http11_) {
+      boost::system::error_code ignored;
+      stream_.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    }
+    stream_.close();
+  }
 
  private:
   static constexpr unsigned kHttp11 = 11;
--- a/test/upstream-bytes-test.cc
+++ b/test/upstream-bytes-test.cc
@@ -441,5 +441,25 @@
   }
 }
 
+TEST_CASE("an aborted answer to an HTTP/1.0 caller does not look complete",
+          "[bytes]") {
+  ForwardFixture fixture("draft", RequestKind::kGeneration);
+  fixture.AddRawUpstream(
+      "u-1", "draft", RawHead("r-1", kUnframed) + EventText(1) + "id: 2\nda");
+  boost::asio::ip::tcp::socket caller(fixture.executor());
+  caller.connect({boost::asio::ip::address_v4::loopback(), fixture.port()});
+  const std::string request =
+      "GET /draft/1 HTTP/1.0\r\nHost: front.example\r\n"
+      "X-Dandeliondyke-Request-Id: r-1\r\n\r\n";
+  boost::asio::write(caller, boost::asio::buffer(request));
+  std::string answer;
+  std::optional<boost::system::error_code> end;
+  boost::asio::async_read(
+      caller, boost::asio::dynamic_buffer(answer),
+      [&end](const boost::system::error_code& error, size_t) { end = error; });
+  REQUIRE(fixture.RunUntil([&end] { return end.has_value(); }));
+  CHECK(*end == boost::asio::error::connection_reset);
+}
+
 }  // namespace
 }  // namespace dandelion::test
