Reject an append's response without an offset

Callers: a response of the platform to an append whose JSON was no object, or whose offset was not a number, ended the daemon, and with it all requests that it had in progress. One without an offset counted as offset 0.

Cause: as with an engine's token, the conversion threw an exception that nothing caught.

Change: the type is checked. Otherwise the append fails as one that may be in the log.

Evidence: the test failed before with that exception, for an array and for a string as the offset.

--- a/src/platform_client/platform_client.cc
+++ b/src/platform_client/platform_client.cc
@@ -83,7 +83,12 @@
     if (!body.ok()) {
       co_return AppendResult{body.status(), result.may_have_been_sent};
     }
-    co_return AppendResult{Offset(body->value("offset", int64_t{0})), true};
+    const auto offset = body->find("offset");
+    if (offset == body->end() || !offset->is_number_integer()) {
+      co_return AppendResult{
+          UnreachableError("the platform's response has no offset"), true};
+    }
+    co_return AppendResult{Offset(offset->get<int64_t>()), true};
   }
 
   Task<absl::StatusOr<LogPage>> Read(std::string topic, Offset from) override {
--- a/test/upstream-bytes-test.cc
+++ b/test/upstream-bytes-test.cc
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "base/error.h"
+#include "platform_client/platform_client.h"
 #include "test/forward-support.h"
 #include "upstream/engine_client.h"
 
@@ -291,6 +292,28 @@
   CHECK(base::KindOf(*status) == ErrorKind::kBadAnswer);
 }
 
+http::Handler RespondWith(std::string body) {
+  return [body = std::move(body)](http::Exchange& exchange) -> Task<void> {
+    http::Response response;
+    response.body = body;
+    (void)co_await exchange.Respond(std::move(response));
+  };
+}
+
+TEST_CASE("an append's response of the wrong type is an error", "[bytes]") {
+  ForwardFixture fixture;
+  FakeUpstream upstream(
+      fixture.executor(),
+      RespondWith(GENERATE(as<std::string>(), "[]", "{\"offset\": \"1\"}")));
+  http::Client client;
+  const auto log = platform_client::MakeHttpLog(client, upstream.address());
+  const auto result = RunTask(fixture, log->Append("topic", "data"));
+  REQUIRE(result);
+  CHECK_FALSE(result->offset.ok());
+  CHECK(result->may_be_in_log);
+  upstream.CloseAll();
+}
+
 // Answers without length or chunks.
 
 TEST_CASE("an unframed plain answer is passed on completely", "[bytes]") {
