--- a/test/upstream-bytes-test.cc
+++ b/test/upstream-bytes-test.cc
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "base/error.h"
+#include "platform/store_client.h"
 #include "platform_client/platform_client.h"
 #include "test/forward-support.h"
 #include "upstream/engine_client.h"
@@ -314,6 +315,31 @@
   upstream.CloseAll();
 }
 
+TEST_CASE("pages of records without end are not all read", "[bytes]") {
+  ForwardFixture fixture;
+  constexpr int kPages = 100;
+  int pages = 0;
+  const auto handler = [&pages](http::Exchange& exchange) -> Task<void> {
+    const bool has_more = ++pages < kPages;
+    http::Response response;
+    response.body =
+        std::string("{\"end\": 1, \"has-more\": ") +
+        (has_more ? "true" : "false") +
+        ", \"items\": [{\"key\": \"a\", \"offset\": 0, \"value\": \"\"}]}";
+    (void)co_await exchange.Respond(std::move(response));
+  };
+  FakeUpstream upstream(fixture.executor(), handler);
+  http::Client client;
+  platform::StoreClient store(client,
+                              [&upstream] { return upstream.address(); });
+  const auto update =
+      RunTask(fixture, store.ReadNewest(store::Topic::kOperator));
+  REQUIRE(update);
+  CHECK_FALSE(update->ok());
+  CHECK(pages < kPages);
+  upstream.CloseAll();
+}
+
 // Answers without length or chunks.
 
 TEST_CASE("an unframed plain answer is passed on completely", "[bytes]") {
