End the send of a long body when there is no answer to it

Callers: where an upstream sent bytes that are no answer and did not read the rest of a request, a request with a body of megabytes was held until its deadline.

Cause: an answer to a body over 2 KiB is read while the request is sent, and CallUpstream waited for both, also when the read had failed.

Change: a head that can't be read closes the connection, which ends the send.

--- a/src/relay/upstream_call.cc
+++ b/src/relay/upstream_call.cc
@@ -65,6 +65,18 @@
   return SendOutcome::kAnswered;
 }
 
+// Reads the head of an answer while its request is sent. Closes the connection
+// if that fails, because an upstream without an answer may not read the rest.
+Task<absl::StatusOr<http::Response>> ReadHeadDuringSend(
+    http::Connection& connection,
+    Millis timeout) {
+  absl::StatusOr<http::Response> head = co_await connection.ReadHead(timeout);
+  if (!head.ok()) {
+    connection.Close();
+  }
+  co_return head;
+}
+
 Task<absl::StatusOr<http::Response>> SendAndReadHead(
     http::Connection& connection,
     const UpstreamCall& call) {
@@ -79,7 +91,7 @@
   }
   auto [sent, head] =
       co_await (connection.Send(call.request, call.response_timeout) &&
-                connection.ReadHead(call.response_timeout));
+                ReadHeadDuringSend(connection, call.response_timeout));
   co_return std::move(head);
 }
 
--- a/test/upstream-bytes-test.cc
+++ b/test/upstream-bytes-test.cc
@@ -149,6 +149,22 @@
   CHECK(result->response->body == "answer");
 }
 
+TEST_CASE("a head without end also ends the send of a long body", "[bytes]") {
+  ForwardFixture fixture;
+  PublishUnsafeRoute(fixture);
+  RawAnswer answer;
+  answer.repeated = std::string(kRepeatedPiece, 'x');
+  const RawUpstream& upstream =
+      fixture.AddRawUpstream("u-1", "write", std::move(answer));
+  http::Request request = CallerRequestFor("write", "r-1", kLongTime);
+  // More than the sockets buffer, since the upstream does not read it.
+  request.body = std::string(4'000'000, 'q');
+  const auto response = fixture.SendRequest(std::move(request));
+  REQUIRE(response.ok());
+  CHECK(response->status == 502);
+  CHECK(fixture.RunUntil([&upstream] { return upstream.cut() == 1; }));
+}
+
 TEST_CASE("a chunk's size line or trailer without end is not buffered",
           "[bytes]") {
   ForwardFixture fixture;
