--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -1,5 +1,6 @@
 #include "http/client.h"
 
+#include <algorithm>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
@@ -39,6 +40,13 @@
                    "check that the peer is running and reachable");
 }
 
+// Interim responses (RFC 9110, section 15.2) precede the answer.
+constexpr unsigned kStatusClass = 100;
+constexpr unsigned kInterimClass = 1;
+constexpr unsigned kSwitchingProtocols = 101;
+// Interim responses that may precede one answer.
+constexpr int kMaxInterimHeads = 8;
+
 class BeastConnection : public Connection {
  public:
   BeastConnection(tcp::endpoint endpoint, beast::tcp_stream stream)
@@ -74,10 +82,24 @@
       ResetParser();
     }
     SetTimeout(timeout);
-    const auto [error, size] =
-        co_await bhttp::async_read_header(stream_, buffer_, *parser_, kNoThrow);
-    if (error) {
-      co_return ConnectionError(endpoint_, error);
+    for (int interim_heads = 0;; ++interim_heads) {
+      const auto [error, size] = co_await bhttp::async_read_header(
+          stream_, buffer_, *parser_, kNoThrow);
+      if (error) {
+        co_return ConnectionError(endpoint_, error);
+      }
+      const unsigned status = parser_->get().result_int();
+      if (status / kStatusClass != kInterimClass) {
+        break;
+      }
+      if (status == kSwitchingProtocols || interim_heads == kMaxInterimHeads) {
+        co_return MakeError(
+            ErrorKind::kBadAnswer,
+            absl::StrCat(EndpointText(endpoint_),
+                         ": an interim response takes the place of an answer"),
+            "check that the peer speaks HTTP/1.1");
+      }
+      ResetParser();
     }
     Response head;
     head.status = parser_->get().result_int();
@@ -89,13 +111,13 @@
   }
 
   Task<absl::StatusOr<std::string_view>> ReadSome(Millis timeout) override {
+    SetTimeout(timeout);
     // A read can complete without body bytes, for example after a chunk's size
     // line.
     while (!parser_->is_done()) {
       auto& body = parser_->get().body();
       body.data = read_buffer_.data();
       body.size = read_buffer_.size();
-      SetTimeout(timeout);
       const auto [error, size] =
           co_await bhttp::async_read_some(stream_, buffer_, *parser_, kNoThrow);
       if (error && error != bhttp::error::need_buffer) {
@@ -113,14 +135,18 @@
   bool MayHaveBeenSent() const override { return may_have_been_sent_; }
 
   bool IsReusable() const override {
-    return response_complete_ && parser_->get().keep_alive() &&
-           buffer_.size() == 0;
+    // Unlike the message's `keep_alive`, the parser's is false for a body that
+    // ends with its connection.
+    return response_complete_ && parser_->keep_alive() && buffer_.size() == 0;
   }
 
   void Close() override { stream_.close(); }
 
  private:
   static constexpr size_t kReadBufferBytes = 16 * 1024;
+  // Bytes that are buffered until the parser can consume them. The parser
+  // itself limits a head, but not a chunk's size line or trailer.
+  static constexpr size_t kMaxUnparsedBytes = 64 * 1024;
 
   void ResetParser() {
     parser_.emplace();
@@ -135,7 +161,7 @@
 
   tcp::endpoint endpoint_;
   beast::tcp_stream stream_;
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{kMaxUnparsedBytes};
   boost::optional<bhttp::response_parser<bhttp::buffer_body>> parser_;
   std::string read_buffer_ = std::string(kReadBufferBytes, '\0');
   bool skip_body_ = false;
@@ -151,19 +177,28 @@
     co_return MakeError(ErrorKind::kConnectionLost, "the connection was closed",
                         "send the request again");
   }
-  const absl::Status sent =
-      co_await connection.Send(request, limits.response_timeout);
+  const base::Clock clock = base::Clock::Monotonic();
+  const Millis end = clock.Now() + limits.total_timeout;
+  const auto step_timeout = [&] {
+    return std::min(limits.response_timeout, end - clock.Now());
+  };
+  const absl::Status sent = co_await connection.Send(request, step_timeout());
   if (!sent.ok()) {
     co_return sent;
   }
-  absl::StatusOr<Response> head =
-      co_await connection.ReadHead(limits.response_timeout);
+  absl::StatusOr<Response> head = co_await connection.ReadHead(step_timeout());
   if (!head.ok()) {
     co_return head;
   }
   for (;;) {
+    const Millis timeout = step_timeout();
+    if (timeout <= Millis(0)) {
+      co_return MakeError(ErrorKind::kTimeout,
+                          "the response was not complete in time",
+                          "check the peer and the network path to it");
+    }
     const absl::StatusOr<std::string_view> chunk =
-        co_await connection.ReadSome(limits.response_timeout);
+        co_await connection.ReadSome(timeout);
     if (!chunk.ok()) {
       co_return chunk.status();
     }
--- a/src/platform_client/platform_client.cc
+++ b/src/platform_client/platform_client.cc
@@ -16,6 +16,7 @@
 
 constexpr Millis kConnectTimeout(500);
 constexpr Millis kResponseTimeout(2000);
+constexpr Millis kTotalTimeout(10'000);
 
 absl::Status UnreachableError(std::string_view description) {
   return base::MakeError(
@@ -27,6 +28,7 @@
   http::FetchLimits limits;
   limits.connect_timeout = kConnectTimeout;
   limits.response_timeout = kResponseTimeout;
+  limits.total_timeout = kTotalTimeout;
   constexpr size_t kMaxBodyBytes = 64U << 20U;
   limits.body_bytes = kMaxBodyBytes;
   return limits;
@@ -81,7 +83,12 @@
     if (!body.ok()) {
       co_return AppendResult{body.status(), result.may_have_been_sent};
     }
-    co_return AppendResult{Offset(body->value("offset", int64_t{0})), true};
+    const auto offset = body->find("offset");
+    if (offset == body->end() || !offset->is_number_integer()) {
+      co_return AppendResult{
+          UnreachableError("the platform's response has no offset"), true};
+    }
+    co_return AppendResult{Offset(offset->get<int64_t>()), true};
   }
 
   Task<absl::StatusOr<LogPage>> Read(std::string topic, Offset from) override {
--- a/src/relay/upstream_call.cc
+++ b/src/relay/upstream_call.cc
@@ -18,22 +18,30 @@
 // upstream may answer a longer request before it has read it, so the answer is
 // read while the request is sent.
 constexpr size_t kMaxSequentialBody = 2 * 1024;
+// Answers to other requests that are skipped on one connection, and bytes of
+// their bodies in all.
+constexpr int kMaxSkippedAnswers = 16;
+constexpr size_t kMaxSkippedBytes = 4 * 1024 * 1024;
 
 bool IsSuccess(int status) {
   return status >= kFirstSuccess && status <= kLastSuccess;
 }
 
-// Reads and discards the rest of an answer. Returns false if that fails.
-Task<bool> SkipBody(http::Connection& connection, Millis timeout) {
+// Reads and discards the rest of an answer, and subtracts its length from
+// `bytes_left`. Returns false if reading fails or the answer is longer.
+Task<bool> SkipBody(http::Connection& connection,
+                    Millis timeout,
+                    size_t* bytes_left) {
   for (;;) {
     const absl::StatusOr<std::string_view> piece =
         co_await connection.ReadSome(timeout);
-    if (!piece.ok()) {
+    if (!piece.ok() || piece->size() > *bytes_left) {
       co_return false;
     }
     if (piece->empty()) {
       co_return true;
     }
+    *bytes_left -= piece->size();
   }
 }
 
@@ -57,6 +65,18 @@
   return SendOutcome::kAnswered;
 }
 
+// Reads the head of an answer while its request is sent. Closes the connection
+// if that fails, because an upstream without an answer may not read the rest.
+Task<absl::StatusOr<http::Response>> ReadHeadDuringSend(
+    http::Connection& connection,
+    Millis timeout) {
+  absl::StatusOr<http::Response> head = co_await connection.ReadHead(timeout);
+  if (!head.ok()) {
+    connection.Close();
+  }
+  co_return head;
+}
+
 Task<absl::StatusOr<http::Response>> SendAndReadHead(
     http::Connection& connection,
     const UpstreamCall& call) {
@@ -71,14 +91,13 @@
   }
   auto [sent, head] =
       co_await (connection.Send(call.request, call.response_timeout) &&
-                connection.ReadHead(call.response_timeout));
+                ReadHeadDuringSend(connection, call.response_timeout));
   co_return std::move(head);
 }
 
-}  // namespace
-
-Task<UpstreamReply> CallUpstream(const PlatformProtocol& protocol,
-                                 UpstreamCall call) {
+// Calls an upstream. The connection may still be open when this failed.
+Task<UpstreamReply> ConnectAndCall(const PlatformProtocol& protocol,
+                                   UpstreamCall call) {
   UpstreamReply reply;
   absl::StatusOr<std::unique_ptr<http::Connection>> connection =
       co_await http::Connect(call.address, call.connect_timeout);
@@ -91,16 +110,21 @@
   reply.end = SendOutcome::kBroken;
   absl::StatusOr<http::Response> head =
       co_await SendAndReadHead(*reply.connection, call);
-  while (head.ok()) {
+  size_t bytes_left = kMaxSkippedBytes;
+  for (int skipped = 0; head.ok(); ++skipped) {
     reply.answer = protocol.parse_response_head(*head);
     const bool for_other_request =
         !reply.answer.request.empty() && reply.answer.request != call.id;
     if (!for_other_request) {
       break;
     }
-    const bool skipped =
-        co_await SkipBody(*reply.connection, call.response_timeout);
-    if (!skipped) {
+    if (skipped == kMaxSkippedAnswers) {
+      reply.reason = "too many answers to other requests";
+      co_return reply;
+    }
+    const bool read_to_end = co_await SkipBody(
+        *reply.connection, call.response_timeout, &bytes_left);
+    if (!read_to_end) {
       reply.reason = "the answer to another request could not be skipped";
       co_return reply;
     }
@@ -115,4 +139,15 @@
   co_return reply;
 }
 
+}  // namespace
+
+Task<UpstreamReply> CallUpstream(const PlatformProtocol& protocol,
+                                 UpstreamCall call) {
+  UpstreamReply reply = co_await ConnectAndCall(protocol, std::move(call));
+  if (reply.connection && reply.end != SendOutcome::kAnswered) {
+    reply.connection->Close();
+  }
+  co_return reply;
+}
+
 }  // namespace dandelion::relay
