Count what a drain cuts at the moment at which it cuts it

What operators saw: exit code 0 and 103 drain_finished although a request was cut and got an error.

Cause: the relays looked at the clock themselves and could end a request between two steps of the drain loop, which then found nothing in progress.

Fix: the end of the time is one event. The drain counts what is in progress and closes the group of upstream connections; the relays and the claims ask that group, not the clock.

--- a/src/kernel/daemon.cc
+++ b/src/kernel/daemon.cc
@@ -92,12 +92,11 @@
         resume_tokens_(settings_.keys.resume_key),
         generation_relay_(clock_,
                           settings_.tuning,
-                          stop_deadline_,
+                          caller_sends_,
                           dispatcher_,
                           engines_,
                           metrics_),
         service_relay_(clock_,
-                       stop_deadline_,
                        dispatcher_,
                        client_,
                        caller_sends_,
@@ -375,9 +374,7 @@
       Send(to, message);
     };
     hooks.is_up = [this](const HostId& host) { return membership_.IsUp(host); };
-    hooks.may_wait = [this] {
-      return stop_deadline_.TimeLeft(clock_.Now()) != Millis(0);
-    };
+    hooks.may_wait = [this] { return !caller_sends_.closed(); };
     hooks.on_log_request = [this](bool append) {
       metrics_.Add(append ? CounterId::kLogAppends : CounterId::kLogReads);
     };
--- a/src/relay/generation_relay.cc
+++ b/src/relay/generation_relay.cc
@@ -49,13 +49,13 @@
 
 GenerationRelay::GenerationRelay(base::Clock clock,
                                  const kernel::Tuning& tuning,
-                                 const admission::StopDeadline& stop_deadline,
+                                 const http::ConnectionGroup& sends,
                                  routing::Dispatcher& dispatcher,
                                  upstream::EngineClient& engines,
                                  telemetry::Metrics& metrics)
     : clock_(std::move(clock)),
       tuning_(tuning),
-      stop_deadline_(stop_deadline),
+      sends_(sends),
       dispatcher_(dispatcher),
       engines_(engines),
       metrics_(metrics) {}
@@ -65,14 +65,10 @@
   dispatcher_.explanations().AddLine(work.id, std::move(line));
 }
 
-bool GenerationRelay::IsStopOver() const {
-  return stop_deadline_.TimeLeft(clock_.Now()) == Millis(0);
-}
-
 Task<void> GenerationRelay::Cancel(const Progress& progress) {
   Task<void> cancel =
       engines_.Cancel(progress.engine, progress.point.generation);
-  if (IsStopOver()) {
+  if (sends_.closed()) {
     base::Spawn(co_await boost::asio::this_coro::executor, std::move(cancel));
   } else {
     co_await std::move(cancel);
@@ -218,7 +214,7 @@
         absl::StrCat("the generation on ", upstream.id.value(), " was lost"),
         "send the request again for a new answer");
   }
-  if (IsStopOver()) {
+  if (sends_.closed()) {
     *retry = false;
     result.status = StoppedError();
   }
@@ -229,11 +225,11 @@
     Progress& progress,
     const TokenSink& sink) {
   Millis read_timeout = tuning_.stall_timeout;
-  while (clock_.Now() < progress.work->deadline && !IsStopOver()) {
+  while (clock_.Now() < progress.work->deadline && !sends_.closed()) {
     if (progress.stream == nullptr) {
       const bool reconnected = co_await Reconnect(progress);
       if (!reconnected) {
-        co_return IsStopOver() ? ReadEnd::kStopped : ReadEnd::kLost;
+        co_return sends_.closed() ? ReadEnd::kStopped : ReadEnd::kLost;
       }
     }
     absl::StatusOr<upstream::TokenBatch> batch =
@@ -270,13 +266,13 @@
       co_return ReadEnd::kDone;
     }
   }
-  co_return IsStopOver() ? ReadEnd::kStopped : ReadEnd::kDeadline;
+  co_return sends_.closed() ? ReadEnd::kStopped : ReadEnd::kDeadline;
 }
 
 Task<bool> GenerationRelay::Reconnect(Progress& progress) {
   const Millis give_up = clock_.Now() + kUnreachableTimeout;
   while (clock_.Now() < give_up && clock_.Now() < progress.work->deadline &&
-         !IsStopOver()) {
+         !sends_.closed()) {
     upstream::OpenResult opened = co_await engines_.Resume(
         progress.engine, progress.point.generation, progress.next);
     if (opened.unknown_generation) {
--- a/src/relay/generation_relay.h
+++ b/src/relay/generation_relay.h
@@ -7,11 +7,11 @@
 #include <vector>
 
 #include "absl/status/status.h"
-#include "admission/stop_deadline.h"
 #include "base/clock.h"
 #include "base/error.h"
 #include "base/ids.h"
 #include "base/task.h"
+#include "http/connection_group.h"
 #include "kernel/settings.h"
 #include "relay/resume_token.h"
 #include "relay/retry_budget.h"
@@ -59,9 +59,11 @@
   /// The part of a gap between tokens beyond this counts as stall time.
   static constexpr base::Millis kStallThreshold{200};
 
+  /// `sends` is the group of the engines' streams. Once it is closed, every
+  /// call is given its final result.
   GenerationRelay(base::Clock clock,
                   const kernel::Tuning& tuning,
-                  const admission::StopDeadline& stop_deadline,
+                  const http::ConnectionGroup& sends,
                   routing::Dispatcher& dispatcher,
                   upstream::EngineClient& engines,
                   telemetry::Metrics& metrics);
@@ -100,17 +102,15 @@
                                   const TokenSink& sink,
                                   bool* retry,
                                   base::UpstreamId* used);
-  /// Whether a stop of the daemon leaves time for final answers only.
-  bool IsStopOver() const;
-  /// Asks the engine to stop a generation. At the end of a stop, does not wait
-  /// until it has done so.
+  /// Asks the engine to stop a generation. Once `sends` is
+  /// closed, does not wait until it has done so.
   base::Task<void> Cancel(const Progress& progress);
   /// Adds a line to the explanation of the request.
   void AddExplanation(const routing::PlacementRequest& work, std::string line);
 
   base::Clock clock_;
   const kernel::Tuning& tuning_;
-  const admission::StopDeadline& stop_deadline_;
+  const http::ConnectionGroup& sends_;
   routing::Dispatcher& dispatcher_;
   upstream::EngineClient& engines_;
   telemetry::Metrics& metrics_;
--- a/src/relay/service_relay.cc
+++ b/src/relay/service_relay.cc
@@ -50,14 +50,12 @@
 }  // namespace
 
 ServiceRelay::ServiceRelay(base::Clock clock,
-                           const admission::StopDeadline& stop_deadline,
                            routing::Dispatcher& dispatcher,
                            http::Client& client,
                            http::ConnectionGroup& sends,
                            claims::ClaimService& claims,
                            telemetry::Metrics& metrics)
     : clock_(std::move(clock)),
-      stop_deadline_(stop_deadline),
       dispatcher_(dispatcher),
       client_(client),
       sends_(sends),
@@ -225,7 +223,7 @@
   ServiceResult result{std::move(fetched.response), Ran::kYes, false};
   if (!result.response.ok()) {
     result.ran = fetched.may_have_been_sent ? Ran::kUnknown : Ran::kNo;
-    if (stop_deadline_.TimeLeft(clock_.Now()) == Millis(0)) {
+    if (sends_.closed()) {
       result.response = MakeError(
           ErrorKind::kDraining, "the daemon stopped before the answer arrived",
           "see whether the request ran, and send it to another daemon");
--- a/src/relay/service_relay.h
+++ b/src/relay/service_relay.h
@@ -3,7 +3,6 @@
 #include <string>
 
 #include "absl/status/statusor.h"
-#include "admission/stop_deadline.h"
 #include "base/clock.h"
 #include "base/error.h"
 #include "base/ids.h"
@@ -46,9 +45,9 @@
   /// Sends of one request, the first included.
   static constexpr int kMaxAttempts = 4;
 
-  /// The connections of all sends are in the group `sends`.
+  /// The connections of all sends are in the group `sends`. Once it is closed,
+  /// every call is given its final result.
   ServiceRelay(base::Clock clock,
-               const admission::StopDeadline& stop_deadline,
                routing::Dispatcher& dispatcher,
                http::Client& client,
                http::ConnectionGroup& sends,
@@ -70,7 +69,6 @@
                                         base::UpstreamId* used);
 
   base::Clock clock_;
-  const admission::StopDeadline& stop_deadline_;
   routing::Dispatcher& dispatcher_;
   http::Client& client_;
   http::ConnectionGroup& sends_;
