Treat a generation lost before its first token as lost

When an engine stopped after it had accepted a generation and before the first token, callers of dandeliond got an empty answer with status 200, complete by its form. The relay decided by its stream whether the generation was lost, but a stream that fails is closed before, so with no token delivered the status stayed OK. It now remembers that a stream was opened: such a generation is retried and, if that fails too, ends with generation_lost.

The test failed before: status 200 in place of an error. The stand-in engine crashes at the first token of a prompt that contains [[crash=1]].

--- a/src/relay/generation_relay.cc
+++ b/src/relay/generation_relay.cc
@@ -130,7 +130,8 @@
     progress.point.incarnation = progress.stream->incarnation();
   }
   ReadEnd end = ReadEnd::kLost;
-  if (progress.stream != nullptr) {
+  const bool was_opened = progress.stream != nullptr;
+  if (was_opened) {
     end = co_await ReadToEnd(progress, sink);
   } else {
     result.status = opened.stream.status();
@@ -168,7 +169,7 @@
     result.status =
         base::MakeError(ErrorKind::kTimeout, "the request's time is over",
                         "allow more time for long answers");
-  } else if (progress.stream != nullptr || progress.next > 0) {
+  } else if (was_opened) {
     metrics_.Add(CounterId::kGenerationsLost);
     result.ran = Ran::kYes;
     result.status = base::MakeError(
--- a/standin/engine.cc
+++ b/standin/engine.cc
@@ -43,6 +43,8 @@
   uint64_t key = 0;
   int64_t generated_tokens = 0;
   bool done = false;
+  /// The engine crashes when it generates the first token.
+  bool crashes_engine = false;
   /// Cancelled, or dropped by the engine.
   bool lost = false;
   /// Number of connections that stream the generation.
@@ -117,6 +119,10 @@
     EngineModel::Hooks hooks;
     hooks.on_token = [this](uint64_t key, int64_t index, double) {
       Generation& generation = *generations_by_key_.at(key);
+      if (generation.crashes_engine) {
+        crash_is_due_ = true;
+        return;
+      }
       generation.generated_tokens = index + 1;
       WakeReaders(generation);
     };
@@ -154,6 +160,11 @@
       if (self->frozen_until_ <= self->clock_.Now()) {
         self->model_.Advance(now);
       }
+      if (std::exchange(self->crash_is_due_, false)) {
+        self->event_log_.Add({{"what", "crashed"}});
+        self->model_.Restart(now);
+        self->WakeAllReaders();
+      }
       const double next = self->model_.NextStepEnd();
       const bool step_running = next >= 0 && next > now;
       co_await base::SleepOnTimer(
@@ -200,6 +211,7 @@
     const std::string prompt = body.value("prompt", "");
     generation->id = id;
     generation->nonce = FindPromptParameter(prompt, "nonce");
+    generation->crashes_engine = !FindPromptParameter(prompt, "crash").empty();
     generation->key = ++last_key_;
     generations_by_key_[generation->key] = generation;
     generations_by_id_[id] = generation;
@@ -395,6 +407,7 @@
   Json published_report_ = Json::object();
   mutable int64_t report_sequence_ = 0;
   uint64_t last_key_ = 0;
+  bool crash_is_due_ = false;
   bool refuse_connections_ = false;
   bool leaving_ = false;
   /// Reports the engine as warm while it is cold.
--- a/test/failure-test.cc
+++ b/test/failure-test.cc
@@ -220,6 +220,38 @@
   CHECK(generations.size() == 1);
 }
 
+// Makes a completion request whose prompt crashes each engine at the first
+// token. Prompts of all `nonce` have the same long prefix.
+Call MakeCrashingCompletion(int nonce) {
+  constexpr size_t kPrefixBytes = 1024;
+  Call call;
+  call.body =
+      Json({{"prompt", absl::StrCat(std::string(kPrefixBytes, 'p'),
+                                    "[[crash=1]][[nonce=", nonce, "]]")}})
+          .dump();
+  return call;
+}
+
+int CountCrashes(Fleet& fleet) {
+  int crashes = 0;
+  for (int i = 1; i <= 4; ++i) {
+    for (const Json& event : fleet.GetEvents(absl::StrCat("engine-", i))) {
+      crashes += event.at("what") == "crashed" ? 1 : 0;
+    }
+  }
+  return crashes;
+}
+
+TEST_CASE("a generation lost before its first token is answered as complete",
+          "[stream]") {
+  Fleet fleet;
+  fleet.PublishTablesAndWait();
+  const Answer answer = fleet.SendAndWait("host-1", MakeCrashingCompletion(1));
+  CHECK(answer.status >= 400);
+  CHECK(answer.error_kind == "generation_lost");
+  CHECK(CountCrashes(fleet) >= 1);
+}
+
 TEST_CASE("a caller resumes in another data centre after its daemon is killed",
           "[stream]") {
   Fleet fleet;
