Stop prompts that crash engines in dandeliond

A generation whose engine crashes as it begins was started anew on engine after engine, as far as the retry budget went, and again with each repeat of its caller: ten prompts with one prefix crashed the engines 23 times. The relay took each loss for the engine's fault and kept nothing about the prompt.

The relay now records such losses and sound answers by the hash of the prompt's first part and of the whole prompt, with the pool as seed, in the PartQuarantine that the other program uses. A call goes to at most three engines that are lost as it begins, with a pause in between, and to no further one if other calls have shown the prompt to be the cause. Calls with quarantined parts are rejected as not run (422 prompt_quarantined). An engine that crashes again after its restart counts as another one.

Evidence is not shared among daemons of this program.

--- a/src/base/error.cc
+++ b/src/base/error.cc
@@ -52,6 +52,8 @@
     KindRow{ErrorKind::kInvalidSettings, "invalid_settings",
             absl::StatusCode::kInvalidArgument},
     KindRow{ErrorKind::kTooLarge, "too_large", absl::StatusCode::kOutOfRange},
+    KindRow{ErrorKind::kPromptQuarantined, "prompt_quarantined",
+            absl::StatusCode::kFailedPrecondition},
     KindRow{ErrorKind::kInternal, "internal", absl::StatusCode::kInternal},
 };
 
--- a/src/base/error.h
+++ b/src/base/error.h
@@ -29,6 +29,7 @@
   kInvalidTables,
   kInvalidSettings,
   kTooLarge,
+  kPromptQuarantined,
   kInternal,
 };
 
--- a/src/entry/request_handler.cc
+++ b/src/entry/request_handler.cc
@@ -52,6 +52,8 @@
       return 410;
     case ErrorKind::kTooLarge:
       return 413;
+    case ErrorKind::kPromptQuarantined:
+      return 422;
     case ErrorKind::kOverloaded:
       return 429;
     case ErrorKind::kTimeout:
@@ -126,6 +128,23 @@
   return head;
 }
 
+// Returns the parts of a prompt under which engines may crash: its first part,
+// if it has a hash, and the whole. Each pool has a model of its own, so the
+// same text is another part in another pool.
+admission::PartList MakeParts(const routing::PlacementRequest& work,
+                              const std::string& prompt) {
+  const std::string& pool = work.route.pool.value();
+  const uint64_t seed = XXH3_64bits(pool.data(), pool.size());
+  admission::PartList parts;
+  if (work.prefix != 0) {
+    parts.emplace_back(absl::StrCat("prefix-", absl::Hex(work.prefix ^ seed)));
+  }
+  const uint64_t whole =
+      XXH3_64bits_withSeed(prompt.data(), prompt.size(), seed);
+  parts.emplace_back(absl::StrCat("prompt-", absl::Hex(whole)));
+  return parts;
+}
+
 }  // namespace
 
 /// A caller's request, parsed and matched to a route.
@@ -253,6 +272,7 @@
   call.work = incoming.work;
   call.prompt = incoming.prompt;
   call.max_tokens = incoming.max_tokens;
+  call.parts = MakeParts(incoming.work, incoming.prompt);
   return call;
 }
 
--- a/src/kernel/daemon.cc
+++ b/src/kernel/daemon.cc
@@ -12,6 +12,7 @@
 #include "entry/request_handler.h"
 #include "http/client.h"
 #include "http/server.h"
+#include "kernel/quarantine_hooks.h"
 #include "kernel/registry.h"
 #include "membership/membership.h"
 #include "membership/transport.h"
@@ -86,10 +87,12 @@
                 *log_,
                 ClaimHooks()),
         resume_tokens_(settings_.keys.resume_key),
+        quarantine_(settings_.id, MakeQuarantineHooks(metrics_)),
         generation_relay_(clock_,
                           settings_.tuning,
                           dispatcher_,
                           engines_,
+                          quarantine_,
                           metrics_),
         service_relay_(clock_, dispatcher_, client_, claims_, metrics_),
         request_handler_(clock_,
@@ -159,6 +162,7 @@
   // connections may still carry a new request.
   static constexpr Millis kIdleBeforeStop{500};
   static constexpr Millis kDrainCheckInterval{20};
+  static constexpr Millis kQuarantineInterval{50};
   static constexpr Millis kHostListInterval{1000};
 
   void AddServices() {
@@ -167,6 +171,8 @@
         {[this] { return OpenTransport(); }, [this] { transport_.reset(); }});
     registry_.Add("membership", &membership_,
                   {SpawnHook([this] { return SendHeartbeats(); }), nullptr});
+    registry_.Add("quarantine", &quarantine_,
+                  {SpawnHook([this] { return UpdateQuarantine(); }), nullptr});
     registry_.Add("config", &config_,
                   {StartHook(config_), [this] { config_.Stop(); }});
     registry_.Add("host_list", host_list_.get(),
@@ -391,6 +397,13 @@
     return {true, "ready"};
   }
 
+  Task<void> UpdateQuarantine() {
+    for (;;) {
+      quarantine_.Tick(clock_.Now());
+      co_await base::SleepFor(kQuarantineInterval);
+    }
+  }
+
   Task<void> SendHeartbeats() {
     for (;;) {
       membership_.Tick();
@@ -538,6 +551,7 @@
   routing::Dispatcher dispatcher_;
   claims::ClaimService claims_;
   relay::ResumeTokens resume_tokens_;
+  admission::PartQuarantine quarantine_;
   relay::GenerationRelay generation_relay_;
   relay::ServiceRelay service_relay_;
   entry::RequestHandler request_handler_;
--- a/src/kernel/fleet_daemon.cc
+++ b/src/kernel/fleet_daemon.cc
@@ -9,6 +9,7 @@
 #include "admission/part_quarantine.h"
 #include "fleet/fleet_state.h"
 #include "http/server.h"
+#include "kernel/quarantine_hooks.h"
 #include "kernel/registry.h"
 #include "membership/mesh.h"
 #include "membership/transport.h"
@@ -70,7 +71,7 @@
               clock_,
               MeshHooks()),
         health_(HealthHooks()),
-        quarantine_(settings_.host, QuarantineHooks()),
+        quarantine_(settings_.host, MakeQuarantineHooks(metrics_)),
         placer_(clock_,
                 settings_.data_centre,
                 upstreams_,
@@ -479,24 +480,6 @@
             }};
   }
 
-  admission::PartQuarantine::Hooks QuarantineHooks() {
-    admission::PartQuarantine::Hooks hooks;
-    hooks.on_suspected = [](const base::PartId& part,
-                            const UpstreamId& upstream) {
-      Emit(Event::kPartSuspected,
-           {{"part", part.value()}, {"upstream", upstream.value()}});
-    };
-    hooks.on_quarantined = [this](const base::PartId& part, int64_t crashes) {
-      metrics_.Add(telemetry::CounterId::kPartsQuarantined);
-      Emit(Event::kPartQuarantined,
-           {{"part", part.value()}, {"crashes", absl::StrCat(crashes)}});
-    };
-    hooks.on_cleared = [](const base::PartId& part) {
-      Emit(Event::kPartCleared, {{"part", part.value()}});
-    };
-    return hooks;
-  }
-
   migration::Migrator::Hooks MigratorHooks() {
     migration::Migrator::Hooks hooks;
     hooks.choose = [this](const migration::ActiveGeneration& generation,
--- a/src/relay/generation_relay.cc
+++ b/src/relay/generation_relay.cc
@@ -15,6 +15,7 @@
 using base::Millis;
 using base::Ran;
 using base::Task;
+using base::UpstreamId;
 using routing::PlacementRequest;
 using telemetry::CounterId;
 using telemetry::Emit;
@@ -33,6 +34,12 @@
   Millis started;
   Millis last_token;
   bool had_token = false;
+  Millis first_token;
+  const admission::PartList* parts = nullptr;
+  /// Whether the engine is known not to crash under the prompt.
+  bool is_sound = false;
+  /// The engine has restarted or refuses connections.
+  bool engine_stopped = false;
   /// Sum of the gaps between tokens beyond the stall bound.
   Millis stall;
 };
@@ -41,11 +48,13 @@
                                  const kernel::Tuning& tuning,
                                  routing::Dispatcher& dispatcher,
                                  upstream::EngineClient& engines,
+                                 admission::PartQuarantine& quarantine,
                                  telemetry::Metrics& metrics)
     : clock_(std::move(clock)),
       tuning_(tuning),
       dispatcher_(dispatcher),
       engines_(engines),
+      quarantine_(quarantine),
       metrics_(metrics) {}
 
 void GenerationRelay::AddExplanation(const PlacementRequest& work,
@@ -58,16 +67,33 @@
                                        std::function<void()> restart) {
   PlacementRequest& work = call.work;
   budget_.OnRequest(work.organisation, work.route.pool);
+  if (quarantine_.FindQuarantined(call.parts, clock_.Now()) &&
+      !quarantine_.TryTrial(call.parts, clock_.Now())) {
+    RelayResult rejected;
+    rejected.status =
+        base::MakeError(ErrorKind::kPromptQuarantined,
+                        "engines have crashed under prompts like this one",
+                        "change the prompt, or have the engines repaired");
+    co_return rejected;
+  }
+  int lost_starts = 0;
   for (;;) {
-    bool retry = false;
-    base::UpstreamId used;
-    RelayResult result = co_await RunOnce(call, sink, &retry, &used);
+    Attempt attempt;
+    RelayResult result = co_await RunOnce(call, sink, &attempt);
+    const UpstreamId& used = attempt.used;
     if (result.status.ok()) {
       dispatcher_.ObserveLength(work, result.tokens);
       co_return result;
     }
+    if (attempt.lost_start) {
+      ++lost_starts;
+      if (!MayGoOnAfterLostStart(call, attempt, lost_starts)) {
+        co_return result;
+      }
+      co_await base::SleepFor(kLostStartPause);
+    }
     const bool fresh = result.tokens == 0 || call.restartable;
-    if (!retry || !fresh || clock_.Now() >= work.deadline ||
+    if (!attempt.retry || !fresh || clock_.Now() >= work.deadline ||
         !budget_.TrySpend(work.organisation, work.route.pool)) {
       co_return result;
     }
@@ -86,10 +112,27 @@
   }
 }
 
+bool GenerationRelay::MayGoOnAfterLostStart(const GenerationCall& call,
+                                            const Attempt& attempt,
+                                            int lost_starts) {
+  const Millis now = clock_.Now();
+  const bool was_quarantined =
+      quarantine_.FindQuarantined(call.parts, now).has_value();
+  // An engine that crashes again after a restart counts as another one.
+  const UpstreamId engine(
+      absl::StrCat(attempt.used.value(), "/", attempt.incarnation.value()));
+  quarantine_.RecordBreak(engine, call.parts, now);
+  quarantine_.Tick(now);
+  if (lost_starts == 1) {
+    // Losses of other calls must have contributed to a quarantine.
+    return !quarantine_.FindQuarantined(call.parts, now);
+  }
+  return !was_quarantined && lost_starts < kMaxLostStarts;
+}
+
 Task<RelayResult> GenerationRelay::RunOnce(const GenerationCall& call,
                                            const TokenSink& sink,
-                                           bool* retry,
-                                           base::UpstreamId* used) {
+                                           Attempt* attempt) {
   const PlacementRequest& work = call.work;
   RelayResult result;
   absl::StatusOr<std::unique_ptr<routing::SlotPlacement>> placement =
@@ -104,10 +147,11 @@
     co_return result;
   }
   const config::Upstream& upstream = (*placement)->upstream();
-  *used = upstream.id;
-  *retry = true;
+  attempt->used = upstream.id;
+  attempt->retry = true;
   Progress progress;
   progress.work = &work;
+  progress.parts = &call.parts;
   progress.placement = placement->get();
   progress.started = clock_.Now();
   progress.last_token = progress.started;
@@ -128,6 +172,7 @@
   if (opened.stream.ok()) {
     progress.stream = *std::move(opened.stream);
     progress.point.incarnation = progress.stream->incarnation();
+    attempt->incarnation = progress.point.incarnation;
   }
   ReadEnd end = ReadEnd::kLost;
   const bool was_opened = progress.stream != nullptr;
@@ -141,6 +186,7 @@
   result.tokens = progress.next;
   if (end == ReadEnd::kDone) {
     (*placement)->SetOutcome(SlotHolder::RequestOutcome::kSuccess);
+    quarantine_.RecordSound(call.parts, clock_.Now());
     result.status = absl::OkStatus();
     result.ran = Ran::kYes;
     metrics_.Observe(Timing::kCompleteAnswer, work.organisation,
@@ -153,7 +199,7 @@
   if (end == ReadEnd::kCallerGone) {
     // The generation is not cancelled, since its caller may resume the stream
     // at another daemon.
-    *retry = false;
+    attempt->retry = false;
     result.status = base::MakeError(ErrorKind::kConnectionLost,
                                     "the caller has gone", "resume the stream");
     result.ran = Ran::kYes;
@@ -164,12 +210,13 @@
     co_await engines_.Cancel(progress.engine, progress.point.generation);
   }
   if (end == ReadEnd::kDeadline) {
-    *retry = false;
+    attempt->retry = false;
     result.ran = Ran::kYes;
     result.status =
         base::MakeError(ErrorKind::kTimeout, "the request's time is over",
                         "allow more time for long answers");
   } else if (was_opened) {
+    attempt->lost_start = progress.engine_stopped && progress.next == 0;
     metrics_.Add(CounterId::kGenerationsLost);
     result.ran = Ran::kYes;
     result.status = base::MakeError(
@@ -234,11 +281,13 @@
     upstream::OpenResult opened = co_await engines_.Resume(
         progress.engine, progress.point.generation, progress.next);
     if (opened.unknown_generation) {
+      progress.engine_stopped = true;
       co_return false;
     }
     if (opened.stream.ok()) {
       progress.stream = *std::move(opened.stream);
       if (progress.stream->incarnation() != progress.point.incarnation) {
+        progress.engine_stopped = true;
         co_return false;
       }
       metrics_.Add(CounterId::kResumes);
@@ -253,6 +302,7 @@
     // waiting for this one.
     const bool refused_connection = !opened.may_have_been_sent;
     if (progress.next == 0 && refused_connection) {
+      progress.engine_stopped = true;
       co_return false;
     }
     co_await base::SleepFor(kResumePause);
@@ -302,6 +352,13 @@
                                        work.prompt_tokens);
     }
   }
+  if (!progress.had_token) {
+    progress.first_token = now;
+  } else if (progress.parts != nullptr && !progress.is_sound &&
+             now - progress.first_token >= kSoundAfter) {
+    progress.is_sound = true;
+    quarantine_.RecordSound(*progress.parts, now);
+  }
   progress.had_token = true;
   progress.last_token = now;
   metrics_.Add(CounterId::kTokens, static_cast<double>(fresh.size()));
--- a/src/relay/generation_relay.h
+++ b/src/relay/generation_relay.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "absl/status/status.h"
+#include "admission/part_quarantine.h"
 #include "base/clock.h"
 #include "base/error.h"
 #include "base/ids.h"
@@ -25,6 +26,8 @@
   routing::PlacementRequest work;
   std::string prompt;
   base::Tokens max_tokens;
+  /// Parts of the prompt that other calls may share, and the whole of it.
+  admission::PartList parts;
   /// Whether the call may start anew on another engine after tokens were
   /// delivered. True if the caller is sent nothing before the generation ends.
   bool restartable = false;
@@ -55,6 +58,14 @@
   static constexpr base::Millis kUnreachableTimeout{15'000};
   /// Pause between two attempts to resume a stream.
   static constexpr base::Millis kResumePause{100};
+  /// Generations of one call that may be lost as they begin. The prompt may be
+  /// the cause, so the call is not tried on further engines.
+  static constexpr int kMaxLostStarts = 3;
+  /// Pause after such a loss, in which a failure of several engines shows.
+  static constexpr base::Millis kLostStartPause{300};
+  /// An engine that goes on for this time after the first token has not crashed
+  /// under the prompt.
+  static constexpr base::Millis kSoundAfter{500};
   /// The part of a gap between tokens beyond this counts as stall time.
   static constexpr base::Millis kStallThreshold{200};
 
@@ -62,6 +73,7 @@
                   const kernel::Tuning& tuning,
                   routing::Dispatcher& dispatcher,
                   upstream::EngineClient& engines,
+                  admission::PartQuarantine& quarantine,
                   telemetry::Metrics& metrics);
 
   /// Runs a call to its end, with retries. `restart` is called before each
@@ -79,6 +91,16 @@
 
  private:
   struct Progress;
+  /// How one attempt of a call ended, beside its result.
+  struct Attempt {
+    /// The engine, once one was chosen.
+    base::UpstreamId used;
+    base::Incarnation incarnation;
+    /// Whether the failure allows a retry.
+    bool retry = false;
+    /// The engine accepted the generation and stopped before the first token.
+    bool lost_start = false;
+  };
   enum class ReadEnd { kDone, kLost, kCallerGone, kDeadline };
 
   /// Delivers tokens until the generation has ended or can't be continued.
@@ -92,12 +114,15 @@
                                    const std::vector<upstream::Token>& tokens,
                                    const TokenSink& sink,
                                    bool* gap);
-  /// Runs the call on one engine, whose ID is stored in `used` once one was
-  /// chosen. Sets `retry` if a failure allows a retry.
+  /// Runs the call on one engine.
   base::Task<RelayResult> RunOnce(const GenerationCall& call,
                                   const TokenSink& sink,
-                                  bool* retry,
-                                  base::UpstreamId* used);
+                                  Attempt* attempt);
+  /// Records that the engine of the attempt crashed. Returns whether the call
+  /// may go on.
+  bool MayGoOnAfterLostStart(const GenerationCall& call,
+                             const Attempt& attempt,
+                             int lost_starts);
   /// Adds a line to the explanation of the request.
   void AddExplanation(const routing::PlacementRequest& work, std::string line);
 
@@ -105,6 +130,7 @@
   const kernel::Tuning& tuning_;
   routing::Dispatcher& dispatcher_;
   upstream::EngineClient& engines_;
+  admission::PartQuarantine& quarantine_;
   telemetry::Metrics& metrics_;
   RetryBudget budget_;
 };
--- a/test/failure-test.cc
+++ b/test/failure-test.cc
@@ -252,6 +252,23 @@
   CHECK(CountCrashes(fleet) >= 1);
 }
 
+TEST_CASE("prompts with one prefix crash one engine after the other",
+          "[stream]") {
+  Fleet fleet;
+  fleet.PublishTablesAndWait();
+  constexpr int kRequests = 10;
+  for (int i = 0; i < kRequests; ++i) {
+    const Answer answer =
+        fleet.SendAndWait("host-1", MakeCrashingCompletion(i));
+    CHECK(answer.status >= 400);
+  }
+  constexpr int kMaxCrashes = 5;
+  CHECK(CountCrashes(fleet) <= kMaxCrashes);
+  const Answer sound =
+      fleet.SendAndWait("host-1", MakeCompletion("n", 5, false));
+  CHECK(sound.status == 200);
+}
+
 TEST_CASE("a caller resumes in another data centre after its daemon is killed",
           "[stream]") {
   Fleet fleet;
