--- a/src/base/error.h
+++ b/src/base/error.h
@@ -30,6 +30,7 @@
   kInvalidTables,
   kInvalidSettings,
   kTooLarge,
+  kPromptQuarantined,
   kInternal,
 };
 
--- a/src/kernel/daemon.cc
+++ b/src/kernel/daemon.cc
@@ -15,6 +15,7 @@
 #include "http/client.h"
 #include "http/connection_group.h"
 #include "http/server.h"
+#include "kernel/quarantine_hooks.h"
 #include "kernel/registry.h"
 #include "membership/membership.h"
 #include "membership/transport.h"
@@ -90,11 +91,13 @@
                 *log_,
                 ClaimHooks()),
         resume_tokens_(settings_.keys.resume_key),
+        quarantine_(settings_.id, MakeQuarantineHooks(metrics_)),
         generation_relay_(clock_,
                           settings_.tuning,
                           caller_sends_,
                           dispatcher_,
                           engines_,
+                          quarantine_,
                           metrics_),
         service_relay_(clock_,
                        dispatcher_,
@@ -180,6 +183,7 @@
   // The part of `Tuning::drain_timeout` at its end in which nothing is in
   // progress any more but final answers and outcomes of claims.
   static constexpr Millis kFinalAnswerTime{500};
+  static constexpr Millis kQuarantineInterval{50};
   static constexpr Millis kHostListInterval{1000};
 
   void AddServices() {
@@ -188,6 +192,8 @@
         {[this] { return OpenTransport(); }, [this] { transport_.reset(); }});
     registry_.Add("membership", &membership_,
                   {SpawnHook([this] { return SendHeartbeats(); }), nullptr});
+    registry_.Add("quarantine", &quarantine_,
+                  {SpawnHook([this] { return UpdateQuarantine(); }), nullptr});
     registry_.Add("config", &config_,
                   {StartHook(config_), [this] { config_.Stop(); }});
     registry_.Add("host_list", host_list_.get(),
@@ -439,6 +445,13 @@
     return {true, "ready"};
   }
 
+  Task<void> UpdateQuarantine() {
+    for (;;) {
+      quarantine_.Tick(clock_.Now());
+      co_await base::SleepFor(kQuarantineInterval);
+    }
+  }
+
   Task<void> SendHeartbeats() {
     for (;;) {
       membership_.Tick();
@@ -589,6 +602,7 @@
   routing::Dispatcher dispatcher_;
   claims::ClaimService claims_;
   relay::ResumeTokens resume_tokens_;
+  admission::PartQuarantine quarantine_;
   relay::GenerationRelay generation_relay_;
   relay::ServiceRelay service_relay_;
   entry::RequestHandler request_handler_;
--- a/test/failure-test.cc
+++ b/test/failure-test.cc
@@ -265,6 +265,55 @@
   CHECK(text.find(".1 ") != std::string::npos);
 }
 
+// Makes a completion request whose prompt crashes each engine at the first
+// token. Prompts of all `nonce` have the same long prefix.
+Call MakeCrashingCompletion(int nonce) {
+  constexpr size_t kPrefixBytes = 1024;
+  Call call;
+  call.body =
+      Json({{"prompt", absl::StrCat(std::string(kPrefixBytes, 'p'),
+                                    "[[crash=1]][[nonce=", nonce, "]]")}})
+          .dump();
+  return call;
+}
+
+int CountCrashes(Fleet& fleet) {
+  int crashes = 0;
+  for (int i = 1; i <= 4; ++i) {
+    for (const Json& event : fleet.GetEvents(absl::StrCat("engine-", i))) {
+      crashes += event.at("what") == "crashed" ? 1 : 0;
+    }
+  }
+  return crashes;
+}
+
+TEST_CASE("a generation lost before its first token is answered as complete",
+          "[stream]") {
+  Fleet fleet;
+  fleet.PublishTablesAndWait();
+  const Answer answer = fleet.SendAndWait("host-1", MakeCrashingCompletion(1));
+  CHECK(answer.status >= 400);
+  CHECK(answer.error_kind == "generation_lost");
+  CHECK(CountCrashes(fleet) >= 1);
+}
+
+TEST_CASE("prompts with one prefix crash one engine after the other",
+          "[stream]") {
+  Fleet fleet;
+  fleet.PublishTablesAndWait();
+  constexpr int kRequests = 10;
+  for (int i = 0; i < kRequests; ++i) {
+    const Answer answer =
+        fleet.SendAndWait("host-1", MakeCrashingCompletion(i));
+    CHECK(answer.status >= 400);
+  }
+  constexpr int kMaxCrashes = 5;
+  CHECK(CountCrashes(fleet) <= kMaxCrashes);
+  const Answer sound =
+      fleet.SendAndWait("host-1", MakeCompletion("n", 5, false));
+  CHECK(sound.status == 200);
+}
+
 TEST_CASE("a caller resumes in another data centre after its daemon is killed",
           "[stream]") {
   Fleet fleet;
