Treat an answer that ends before its first event as broken

Callers would see: a complete, empty answer with status 200 from an engine that crashed as it began, if the answer had neither a length nor chunks, so that the end of the connection is the end of the answer. Worse, the empty answer counted as sound: it proved the parts of its prompt and lifted their quarantine at all daemons.

Cause: the end of a stream was only checked for an incomplete event.

Change: an answer that ends before any event has broken off, unless it resumes after an event that the caller has. Beside it, from the same review: answers that a stop closes no longer count against their upstream's health (no test), and a plain request that waited while its part was quarantined is told so.

--- a/src/relay/plain_forward.cc
+++ b/src/relay/plain_forward.cc
@@ -79,17 +79,6 @@
   return request;
 }
 
-// Records the failure of an upstream whose answer broke off, unless the caller
-// has gone: then the connection was closed from here.
-void RecordBrokenAnswer(const ForwardServices& services,
-                        const ForwardCall& call,
-                        const base::UpstreamId& upstream) {
-  if (!call.caller_gone()) {
-    services.health.RecordAttempt(upstream, routing::AttemptOutcome::kFailure,
-                                  services.clock.Now());
-  }
-}
-
 // An answer and its body, as far as it was buffered.
 struct BufferedReply {
   UpstreamReply head;
@@ -125,10 +114,8 @@
   WaitResult wait = co_await WaitForSend(services, call, request);
   std::optional<migration::Place> place = std::move(wait.place);
   ForwardResult result;
-  result.end = call->EndReasonOr(wait.stopping ? SendOutcome::kStopping
-                                               : SendOutcome::kNotSent);
-  result.reason = wait.stopping ? std::string(kStoppingReason)
-                                : "no upstream has a free slot";
+  result.end = call->EndReasonOr(UnsentOutcome(wait));
+  result.reason = UnsentReason(wait);
   result.capacity_in = wait.capacity_in;
   while (place) {
     BufferedReply reply = co_await SendAndReadBody(services, call, *place);
--- a/src/relay/send_once.cc
+++ b/src/relay/send_once.cc
@@ -153,6 +153,31 @@
   co_return std::move(wait);
 }
 
+SendOutcome UnsentOutcome(const WaitResult& wait) {
+  if (wait.stopping) {
+    return SendOutcome::kStopping;
+  }
+  return wait.quarantined ? SendOutcome::kQuarantined : SendOutcome::kNotSent;
+}
+
+std::string UnsentReason(const WaitResult& wait) {
+  if (wait.stopping) {
+    return std::string(kStoppingReason);
+  }
+  return wait.quarantined ? std::string(kQuarantineReason)
+                          : "no upstream has enough free capacity";
+}
+
+void RecordBrokenAnswer(const ForwardServices& services,
+                        const ForwardCall& call,
+                        const base::UpstreamId& upstream) {
+  const SendOutcome end = call.EndReasonOr(SendOutcome::kBroken);
+  if (end != SendOutcome::kCallerGone && end != SendOutcome::kStopping) {
+    services.health.RecordAttempt(upstream, AttemptOutcome::kFailure,
+                                  services.clock.Now());
+  }
+}
+
 bool TryRetry(const ForwardServices& services,
               const ForwardCall& call,
               const fleet::Pool& pool,
--- a/src/relay/send_once.h
+++ b/src/relay/send_once.h
@@ -42,6 +42,16 @@
 /// test this part.
 bool IsQuarantined(const ForwardServices& services, const ForwardCall& call);
 
+/// Outcome and reason of a request that got no place.
+SendOutcome UnsentOutcome(const WaitResult& wait);
+std::string UnsentReason(const WaitResult& wait);
+
+/// Records that an upstream's answer broke off. Does nothing if the answer was
+/// closed from here because the caller has gone or the daemon stops.
+void RecordBrokenAnswer(const ForwardServices& services,
+                        const ForwardCall& call,
+                        const base::UpstreamId& upstream);
+
 /// Returns whether to retry on another upstream after a send that ended with
 /// `end`. Spends a retry from the budget unless nothing was sent.
 bool TryRetry(const ForwardServices& services,
--- a/src/relay/stream_forward.cc
+++ b/src/relay/stream_forward.cc
@@ -144,16 +144,7 @@
 
   ForwardResult EndedWithoutPlace(const WaitResult& wait) {
     result_.capacity_in = wait.capacity_in;
-    if (wait.stopping) {
-      return Ended(call_->EndReasonOr(SendOutcome::kStopping),
-                   std::string(kStoppingReason));
-    }
-    if (wait.quarantined) {
-      return Ended(call_->EndReasonOr(SendOutcome::kQuarantined),
-                   std::string(kQuarantineReason));
-    }
-    return Ended(call_->EndReasonOr(SendOutcome::kNotSent),
-                 "no engine has enough free capacity");
+    return Ended(call_->EndReasonOr(UnsentOutcome(wait)), UnsentReason(wait));
   }
 
   // Runs the generation at `generation_->place`, and from KV cache copies when
@@ -323,15 +314,10 @@
     }
   }
 
-  // Ends a stream that broke, and records the engine's failure unless the
-  // caller has gone: then the stream was closed from here.
+  // Ends a stream that broke.
   SendOutcome StreamBroke(std::string reason) {
     result_.reason = std::move(reason);
-    if (!call_->caller_gone()) {
-      services_.health.RecordAttempt(generation_->place.upstream,
-                                     routing::AttemptOutcome::kFailure,
-                                     services_.clock.Now());
-    }
+    RecordBrokenAnswer(services_, *call_, generation_->place.upstream);
     return call_->EndReasonOr(SendOutcome::kBroken);
   }
 
@@ -403,6 +389,11 @@
     if (!splitter_.incomplete().empty()) {
       co_return StreamBroke("the stream ended in the middle of an event");
     }
+    // The end of a connection may look like the end of an answer that an engine
+    // had only begun when it crashed.
+    if (!generation_->has_events && !resume_after_) {
+      co_return StreamBroke("the stream ended before its first event");
+    }
     if (!started_) {
       const absl::Status head = co_await StartAnswer(reply);
       if (!head.ok()) {
--- a/test/forward-parts-test.cc
+++ b/test/forward-parts-test.cc
@@ -39,7 +39,12 @@
           exchange.request().headers.Find("X-Dandeliondyke-Prefix-Hash"));
       if (parts.find(kCrashingPart) != std::string::npos) {
         ++crashes;
-        exchange.Abort();
+        // The connection's end then looks like the end of an empty answer.
+        if (ends_cleanly) {
+          (void)co_await exchange.Finish();
+        } else {
+          exchange.Abort();
+        }
         co_return;
       }
       (void)co_await exchange.Write("id: 1\ndata: x\n\n");
@@ -60,11 +65,13 @@
 
   int requests = 0;
   int crashes = 0;
+  bool ends_cleanly = false;
 };
 
 TEST_CASE("requests with a part that crashes engines keep reaching engines",
           "[parts]") {
   CrashFixture fixture;
+  fixture.ends_cleanly = GENERATE(false, true);
   CHECK(fixture.Send("ca11e4:80,70b1c:300").status == 200);
   http::Response response;
   for (int i = 0; i < kEngines; ++i) {
--- a/test/upstream-bytes-test.cc
+++ b/test/upstream-bytes-test.cc
@@ -249,7 +249,8 @@
 Task<absl::Status> ReadGeneration(http::Client& client,
                                   const RawUpstream& upstream,
                                   Millis timeout) {
-  upstream::EngineClient engines(client, base::HostId("h-1"));
+  http::ConnectionGroup streams;
+  upstream::EngineClient engines(client, streams, base::HostId("h-1"));
   upstream::GenerationRequest request;
   request.request = base::RequestId("r-1");
   upstream::OpenResult opened =
@@ -441,6 +442,17 @@
   CHECK(fixture.loads.own_loads().empty());
 }
 
+TEST_CASE("a stream that ends before its first event does not look complete",
+          "[bytes]") {
+  ForwardFixture fixture("draft", RequestKind::kGeneration);
+  const std::string framing = GENERATE(as<std::string>(), kUnframed, kChunked);
+  const std::string body = framing == kChunked ? "0\r\n\r\n" : "";
+  fixture.AddRawUpstream("u-1", "draft", RawHead("r-1", framing) + body);
+  const auto response = fixture.SendRequest(CallerRequestFor("draft", "r-1"));
+  REQUIRE(response.ok());
+  CHECK(response->status == 502);
+}
+
 TEST_CASE("a stream that ends within an event counts as the engine's failure",
           "[bytes]") {
   ForwardFixture fixture("draft", RequestKind::kGeneration);
