Log and count what keeps a ready daemon from taking callers

Added, in both programs: 240 (the event loop ran late, with the messages that were read from peers meanwhile), 241 and 242 (accepting fails, and works again), 243 (a connection rejected at its limit); counters of accepted and rejected connections and of failed accepts, gauges of open connections and of the loop's lag. The fleet daemon now exports its peers' messages and bytes as well. No logic changes.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -6,6 +6,7 @@
 #include <charconv>
 #include <chrono>
 #include <map>
+#include <optional>
 #include <set>
 #include <utility>
 
@@ -333,10 +334,15 @@
 
 class Server::Impl : public std::enable_shared_from_this<Server::Impl> {
  public:
-  Impl(const base::Executor& executor, ServerLimits limits, Handler handler)
+  Impl(const base::Executor& executor,
+       ServerLimits limits,
+       Handler handler,
+       ServerHooks hooks)
       : executor_(executor),
         limits_(limits),
         handler_(std::move(handler)),
+        hooks_(std::move(hooks)),
+        clock_(base::Clock::Monotonic()),
         acceptor_(executor) {}
 
   absl::Status Bind(const tcp::endpoint& endpoint) {
@@ -435,15 +441,37 @@
         co_return;
       }
       if (error) {
+        self->RecordAcceptFailure(error);
         // Accepting fails when the process is out of file descriptors. Wait for
         // exchanges in progress to release some.
         co_await base::SleepFor(Millis(10));
         continue;
       }
+      self->RecordAccept();
       self->StartSession(std::move(socket));
     }
   }
 
+  void RecordAcceptFailure(const boost::system::error_code& error) {
+    if (accept_failing_since_) {
+      return;
+    }
+    accept_failing_since_ = clock_.Now();
+    if (hooks_.on_accept_failed) {
+      hooks_.on_accept_failed(error.message());
+    }
+  }
+
+  void RecordAccept() {
+    if (accept_failing_since_ && hooks_.on_accept_resumed) {
+      hooks_.on_accept_resumed(clock_.Now() - *accept_failing_since_);
+    }
+    accept_failing_since_.reset();
+    if (hooks_.on_accepted) {
+      hooks_.on_accepted();
+    }
+  }
+
   void StartSession(tcp::socket socket) {
     boost::system::error_code error;
     const tcp::endpoint remote = socket.remote_endpoint(error);
@@ -465,6 +493,9 @@
     size_t& sessions_from_remote = self->sessions_per_address_[remote];
     if (self->sessions_.size() >= self->limits_.connections ||
         sessions_from_remote >= self->limits_.connections_per_address) {
+      if (self->hooks_.on_rejected) {
+        self->hooks_.on_rejected();
+      }
       co_await session.Respond(Rejection(503, "too_many_connections",
                                          "close idle connections and retry"));
       co_return;
@@ -484,7 +515,11 @@
   base::Executor executor_;
   ServerLimits limits_;
   Handler handler_;
+  ServerHooks hooks_;
+  base::Clock clock_;
   tcp::acceptor acceptor_;
+  /// When accepting began to fail; empty while it works.
+  std::optional<Millis> accept_failing_since_;
   std::set<Session*> sessions_;
   std::map<asio::ip::address, size_t> sessions_per_address_;
   unsigned short port_ = 0;
@@ -493,8 +528,12 @@
 
 Server::Server(const base::Executor& executor,
                ServerLimits limits,
-               Handler handler)
-    : impl_(std::make_shared<Impl>(executor, limits, std::move(handler))) {}
+               Handler handler,
+               ServerHooks hooks)
+    : impl_(std::make_shared<Impl>(executor,
+                                   limits,
+                                   std::move(handler),
+                                   std::move(hooks))) {}
 Server::~Server() {
   impl_->StopAccepting();
   impl_->CloseAll();
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -58,6 +58,17 @@
   virtual void HoldOpen() = 0;
 };
 
+/// Callbacks on what becomes of connections. Any may be empty.
+struct ServerHooks {
+  std::function<void()> on_accepted;
+  /// The server is at one of its limits and rejects a connection.
+  std::function<void()> on_rejected;
+  /// Accepting began to fail, with the system's error.
+  std::function<void(std::string_view reason)> on_accept_failed;
+  /// Accepting works again, `failed_for` after it began to fail.
+  std::function<void(base::Millis failed_for)> on_accept_resumed;
+};
+
 /// Called for each request, one request at a time per connection. The exchange
 /// is valid until the handler's task ends.
 using Handler = std::function<base::Task<void>(Exchange&)>;
@@ -65,7 +76,10 @@
 /// An HTTP/1.1 server that runs one task per connection.
 class Server {
  public:
-  Server(const base::Executor& executor, ServerLimits limits, Handler handler);
+  Server(const base::Executor& executor,
+         ServerLimits limits,
+         Handler handler,
+         ServerHooks hooks = {});
   ~Server();
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
--- a/src/kernel/daemon.cc
+++ b/src/kernel/daemon.cc
@@ -15,8 +15,10 @@
 #include "http/client.h"
 #include "http/connection_group.h"
 #include "http/server.h"
+#include "kernel/loop_monitor.h"
 #include "kernel/quarantine_hooks.h"
 #include "kernel/registry.h"
+#include "kernel/serving_telemetry.h"
 #include "membership/membership.h"
 #include "membership/transport.h"
 #include "platform_client/platform_client.h"
@@ -114,16 +116,22 @@
                          metrics_,
                          {[this] { return config_.tables(); }}),
         admin_handler_(settings_.keys.operator_token, AdminHooks()),
-        entry_server_(executor,
-                      LimitsOf(settings_.tuning),
-                      [this](http::Exchange& exchange) {
-                        return request_handler_.Handle(exchange);
-                      }),
+        entry_server_(
+            executor,
+            LimitsOf(settings_.tuning),
+            [this](http::Exchange& exchange) {
+              return request_handler_.Handle(exchange);
+            },
+            MakeCallerServerHooks(
+                metrics_,
+                clock_,
+                [this] { return entry_server_.connections(); })),
         admin_server_(executor,
                       http::ServerLimits(),
                       [this](http::Exchange& exchange) {
                         return admin_handler_.Handle(exchange);
-                      }) {
+                      }),
+        loop_monitor_(clock_, [this](Millis lag) { OnLoopCheck(lag); }) {
     AddServices();
   }
 
@@ -192,6 +200,8 @@
         {[this] { return OpenTransport(); }, [this] { transport_.reset(); }});
     registry_.Add("membership", &membership_,
                   {SpawnHook([this] { return SendHeartbeats(); }), nullptr});
+    registry_.Add("loop_monitor", &loop_monitor_,
+                  {SpawnHook([this] { return loop_monitor_.Run(); }), nullptr});
     registry_.Add("quarantine", &quarantine_,
                   {SpawnHook([this] { return UpdateQuarantine(); }), nullptr});
     registry_.Add("config", &config_,
@@ -243,6 +253,12 @@
     return absl::OkStatus();
   }
 
+  void OnLoopCheck(Millis lag) {
+    const membership::TransportCounts counts =
+        transport_ ? transport_->counts() : membership::TransportCounts();
+    ReportLoopCheck(lag, counts, &checked_counts_, metrics_);
+  }
+
   void Send(const HostId& to, proto::Envelope message) {
     if (transport_) {
       message.set_from(settings_.id.value());
@@ -564,21 +580,9 @@
     metrics_.SetLeasedSlots(static_cast<double>(slots_.holder().TotalLeased()));
     metrics_.SetInFlight(static_cast<double>(entry_server_.in_flight()));
     metrics_.SetQueued(static_cast<double>(dispatcher_.queued()));
+    metrics_.SetConnections(static_cast<double>(entry_server_.connections()));
     if (transport_) {
-      const membership::TransportCounts& current_counts = transport_->counts();
-      metrics_.Add(CounterId::kPeerMessagesSent,
-                   static_cast<double>(current_counts.messages_sent -
-                                       exported_counts_.messages_sent));
-      metrics_.Add(CounterId::kPeerBytesSent,
-                   static_cast<double>(current_counts.bytes_sent -
-                                       exported_counts_.bytes_sent));
-      metrics_.Add(CounterId::kPeerMessagesReceived,
-                   static_cast<double>(current_counts.messages_received -
-                                       exported_counts_.messages_received));
-      metrics_.Add(CounterId::kPeerBytesReceived,
-                   static_cast<double>(current_counts.bytes_received -
-                                       exported_counts_.bytes_received));
-      exported_counts_ = current_counts;
+      ExportTransportCounts(transport_->counts(), &exported_counts_, metrics_);
     }
     return metrics_.SerializeAsText();
   }
@@ -609,9 +613,12 @@
   entry::AdminHandler admin_handler_;
   http::Server entry_server_;
   http::Server admin_server_;
+  LoopMonitor loop_monitor_;
   Registry registry_;
   std::map<base::UpstreamId, bool> listed_as_leaving_;
   membership::TransportCounts exported_counts_;
+  /// The transport's counts at the last check of the event loop.
+  membership::TransportCounts checked_counts_;
   bool draining_ = false;
   bool config_installed_ = false;
 };
--- a/src/kernel/fleet_daemon.cc
+++ b/src/kernel/fleet_daemon.cc
@@ -10,8 +10,10 @@
 #include "admission/stop_deadline.h"
 #include "fleet/fleet_state.h"
 #include "http/server.h"
+#include "kernel/loop_monitor.h"
 #include "kernel/quarantine_hooks.h"
 #include "kernel/registry.h"
+#include "kernel/serving_telemetry.h"
 #include "membership/mesh.h"
 #include "membership/transport.h"
 #include "relay/forwarder.h"
@@ -90,11 +92,16 @@
                     adapter_.engines, health_, retry_budget_, metrics_, stop_,
                     quarantine_, [this] { return mesh_.DaemonCount(); },
                     [this] { return MakeAdmissionState(); }}),
-        caller_server_(executor,
-                       http::ServerLimits(),
-                       [this](http::Exchange& exchange) {
-                         return forwarder_.Handle(exchange);
-                       }),
+        caller_server_(
+            executor,
+            http::ServerLimits(),
+            [this](http::Exchange& exchange) {
+              return forwarder_.Handle(exchange);
+            },
+            MakeCallerServerHooks(
+                metrics_,
+                clock_,
+                [this] { return caller_server_.connections(); })),
         readiness_server_(executor,
                           http::ServerLimits(),
                           [this](http::Exchange& exchange) {
@@ -104,7 +111,8 @@
                         http::ServerLimits(),
                         [this](http::Exchange& exchange) {
                           return HandleMetrics(exchange);
-                        }) {
+                        }),
+        loop_monitor_(clock_, [this](Millis lag) { OnLoopCheck(lag); }) {
     AddServices();
   }
 
@@ -199,6 +207,7 @@
     base::Spawn(executor_, JoinMesh());
     base::Spawn(executor_, RunPeriodicTasks());
     base::Spawn(executor_, PollEngineReports());
+    base::Spawn(executor_, loop_monitor_.Run());
     return absl::OkStatus();
   }
 
@@ -350,7 +359,14 @@
     (void)co_await exchange.Respond(std::move(response));
   }
 
+  void OnLoopCheck(Millis lag) {
+    ReportLoopCheck(lag, transport_->counts(), &checked_counts_, metrics_);
+  }
+
   Task<void> HandleMetrics(http::Exchange& exchange) {
+    ExportTransportCounts(transport_->counts(), &exported_counts_, metrics_);
+    metrics_.SetConnections(static_cast<double>(caller_server_.connections()));
+    metrics_.SetInFlight(static_cast<double>(caller_server_.in_flight()));
     http::Response response;
     response.headers.Add("Content-Type", "text/plain; version=0.0.4");
     response.body = metrics_.SerializeAsText();
@@ -549,6 +565,10 @@
   http::Server caller_server_;
   http::Server readiness_server_;
   http::Server metrics_server_;
+  LoopMonitor loop_monitor_;
+  membership::TransportCounts exported_counts_;
+  /// The transport's counts at the last check of the event loop.
+  membership::TransportCounts checked_counts_;
   bool reported_ready_ = false;
   bool reported_reading_ = false;
   bool store_silent_ = true;
--- a/src/telemetry/metrics.cc
+++ b/src/telemetry/metrics.cc
@@ -70,6 +70,14 @@
     CounterRow{CounterId::kPartsQuarantined,
                "dandelion_parts_quarantined_total",
                "Parts of prompts that were quarantined"},
+    CounterRow{CounterId::kConnectionsAccepted,
+               "dandelion_connections_accepted_total",
+               "Connections accepted from callers"},
+    CounterRow{CounterId::kConnectionsRejected,
+               "dandelion_connections_rejected_total",
+               "Connections rejected at their limit"},
+    CounterRow{CounterId::kAcceptFailures, "dandelion_accept_failures_total",
+               "Times at which accepting connections began to fail"},
 };
 
 // Upper bounds in seconds.
@@ -104,6 +112,10 @@
     leased_slots_ = &MakeGauge("dandelion_leased_slots", "Slots held by lease");
     in_flight_ = &MakeGauge("dandelion_in_flight", "Requests in progress");
     queued_ = &MakeGauge("dandelion_queued", "Requests that wait for a slot");
+    connections_ =
+        &MakeGauge("dandelion_connections", "Open connections of callers");
+    loop_lag_ = &MakeGauge("dandelion_loop_lag_seconds",
+                           "Time by which the event loop last ran late");
   }
 
   Histogram& HistogramFor(Timing timing,
@@ -141,6 +153,8 @@
   prometheus::Gauge* leased_slots_;
   prometheus::Gauge* in_flight_;
   prometheus::Gauge* queued_;
+  prometheus::Gauge* connections_;
+  prometheus::Gauge* loop_lag_;
 
  private:
   prometheus::Gauge& MakeGauge(const char* name, const char* help) {
@@ -180,6 +194,12 @@
 void Metrics::SetQueued(double requests) {
   impl_->queued_->Set(requests);
 }
+void Metrics::SetConnections(double connections) {
+  impl_->connections_->Set(connections);
+}
+void Metrics::SetLoopLag(double seconds) {
+  impl_->loop_lag_->Set(seconds);
+}
 double Metrics::ValueOf(CounterId counter) const {
   return impl_->counters_.at(counter)->Value();
 }
--- a/src/telemetry/metrics.h
+++ b/src/telemetry/metrics.h
@@ -29,6 +29,9 @@
   kClaimsWon,
   kOutcomesUnknown,
   kPartsQuarantined,
+  kConnectionsAccepted,
+  kConnectionsRejected,
+  kAcceptFailures,
 };
 
 /// The daemon's metrics.
@@ -53,6 +56,9 @@
   void SetLeasedSlots(double slots);
   void SetInFlight(double requests);
   void SetQueued(double requests);
+  void SetConnections(double connections);
+  /// Time by which the event loop last ran a task late.
+  void SetLoopLag(double seconds);
   /// The current value of a counter.
   double ValueOf(CounterId counter) const;
 
