--- a/src/kernel/fleet_daemon.cc
+++ b/src/kernel/fleet_daemon.cc
@@ -396,7 +396,7 @@
     std::vector<store::Record> changes =
         fleet_state_.ApplyUpdate(topic, update, verified_at);
     placer_.DispatchWaiting();
-    if (!from_store) {
+    if (!from_store || !reader_election_.is_reader()) {
       for (const store::Record& record : changes) {
         mesh_.MarkChange(topic, record.offset);
       }
@@ -450,7 +450,9 @@
 
   store::Follower::Hooks FollowerHooks() {
     store::Follower::Hooks hooks;
-    hooks.is_reader = [this] { return reader_election_.is_reader(); };
+    hooks.should_read = [this](Topic topic) {
+      return reader_election_.is_reader() || mesh_.IsBehind(topic);
+    };
     hooks.replica = [this](Topic topic) -> const store::TopicReplica& {
       return fleet_state_.replica(topic);
     };
--- a/src/membership/mesh.cc
+++ b/src/membership/mesh.cc
@@ -20,12 +20,12 @@
 
 constexpr std::array<Topic, store::kTopicCount> kAllTopics = {
     Topic::kOperator, Topic::kUpstreams};
-// Minimum time between two pulls from the same peer.
-constexpr Millis kPullInterval{250};
 // Assumed age of a message that echoes no timestamp of this process, so that
 // its verifications count as very old.
 constexpr Millis kUnknownMessageAge{1'000'000};
 
+constexpr char kSeedPrefix[] = "seed ";
+
 size_t IndexOf(Topic topic) {
   return static_cast<size_t>(topic);
 }
@@ -60,6 +60,15 @@
   return update;
 }
 
+// The name under which a daemon is known until its own is.
+HostId SeedName(const std::string& address) {
+  return HostId(absl::StrCat(kSeedPrefix, address));
+}
+
+bool IsSeed(const HostId& name) {
+  return name.value().starts_with(kSeedPrefix);
+}
+
 int64_t RandomTimestampBase() {
   std::random_device random;
   std::uniform_int_distribution<int64_t> any(1, INT64_C(1) << 60);
@@ -108,7 +117,7 @@
 }
 
 void Mesh::AddSeed(const std::string& address) {
-  AddPeer({HostId(absl::StrCat("seed ", address)), address});
+  AddPeer({SeedName(address), address});
 }
 
 void Mesh::OnMessage(const HostId& from, const proto::Envelope& message) {
@@ -129,7 +138,7 @@
 
 Mesh::Peer& Mesh::RecordPeerContact(const HostId& from,
                                     const std::string& address) {
-  const HostId seed(absl::StrCat("seed ", address));
+  const HostId seed = SeedName(address);
   if (peers_.erase(seed) > 0) {
     hooks_.disconnect(seed);
   }
@@ -184,26 +193,76 @@
       behind = true;
     }
     if (gap && update.records.empty()) {
+      RecordProgress(topic, update.from);
       continue;
     }
     hooks_.on_update(topic, update,
                      earliest_sent_at - Millis(in.proof_age_ms()));
+    RecordProgress(topic, update.from);
     const TopicReplica& replica = hooks_.replica(topic);
     digest_differs = digest_differs ||
                      (in.key_digest() != 0 && update.to == replica.position() &&
                       in.key_digest() != replica.key_digest());
   }
-  if (behind || digest_differs) {
-    SendPull(from, peer, digest_differs);
+  const bool incomplete = behind || digest_differs;
+  peer.ahead = incomplete;
+  if (heartbeat.answers_pull()) {
+    pulls_.OnAnswer(from, !incomplete, now);
+  }
+  if (!incomplete) {
+    return;
+  }
+  if (heartbeat.answers_pull()) {
+    PullFromAnother();
+  } else {
+    PullRecords(from, digest_differs);
   }
 }
 
-void Mesh::SendPull(const HostId& to, Peer& peer, bool complete) {
-  const Millis now = clock_.Now();
-  if (now - peer.last_pull_at < kPullInterval) {
+void Mesh::RecordProgress(Topic topic, int64_t end) {
+  PeerProgress& progress = progress_[IndexOf(topic)];
+  progress.end = std::max(progress.end, end);
+  if (!hooks_.replica(topic).LeavesGap(progress.end)) {
+    progress.behind_since.reset();
+  } else if (!progress.behind_since) {
+    progress.behind_since = clock_.Now();
+  }
+}
+
+bool Mesh::IsBehind(Topic topic) const {
+  const PeerProgress& progress = progress_[IndexOf(topic)];
+  return progress.behind_since &&
+         clock_.Now() - *progress.behind_since > kPullPatience &&
+         hooks_.replica(topic).LeavesGap(progress.end);
+}
+
+void Mesh::PullPeers(const HostId& seed) {
+  // A pull without positions asks for no records.
+  proto::Envelope message;
+  message.mutable_fleet_pull()->set_address(self_.address);
+  hooks_.send(seed, message);
+}
+
+void Mesh::PullFromAnother() {
+  std::vector<HostId> candidates;
+  for (const auto& [name, peer] : peers_) {
+    if (peer.up && peer.ahead && !pulls_.IsTurnedAway(name, clock_.Now())) {
+      candidates.push_back(name);
+    }
+  }
+  if (candidates.empty()) {
+    return;
+  }
+  // Daemons that ask at the same time choose different peers.
+  const size_t choice =
+      std::hash<std::string>()(self_.id.value()) + pulls_asked_elsewhere_++;
+  PullRecords(candidates[choice % candidates.size()], false);
+}
+
+void Mesh::PullRecords(const HostId& from, bool complete) {
+  if (!pulls_.TryStart(from, clock_.Now())) {
     return;
   }
-  peer.last_pull_at = now;
   proto::Envelope message;
   proto::FleetPull* pull = message.mutable_fleet_pull();
   pull->set_address(self_.address);
@@ -212,7 +271,7 @@
     pull->add_positions(replica.started() && !complete ? replica.position()
                                                        : -1);
   }
-  hooks_.send(to, message);
+  hooks_.send(from, message);
 }
 
 void Mesh::OnPull(const HostId& from, const proto::FleetPull& pull) {
@@ -221,7 +280,27 @@
   }
   Peer& peer = RecordPeerContact(from, pull.address());
   proto::Envelope answer = MakeHeartbeat(peer, false);
-  proto::FleetBeat* heartbeat = answer.mutable_fleet_beat();
+  AddMissingRecords(pull, answer.mutable_fleet_beat());
+  hooks_.send(from, answer);
+  proto::Envelope list;
+  for (const auto& [name, known] : peers_) {
+    if (known.up) {
+      list.mutable_fleet_peers()->add_names(name.value());
+      list.mutable_fleet_peers()->add_addresses(known.address.address);
+    }
+  }
+  if (list.has_fleet_peers()) {
+    hooks_.send(from, list);
+  }
+}
+
+void Mesh::AddMissingRecords(const proto::FleetPull& pull,
+                             proto::FleetBeat* heartbeat) {
+  const Millis now = clock_.Now();
+  heartbeat->set_answers_pull(pull.positions_size() > 0);
+  if (pull.positions_size() == 0 || !answer_budget_.MaySend(now)) {
+    return;
+  }
   heartbeat->clear_updates();
   for (const Topic topic : kAllTopics) {
     const TopicReplica& replica = hooks_.replica(topic);
@@ -235,19 +314,9 @@
         position < 0;
     EncodeUpdate(
         complete ? replica.MakeSnapshot() : replica.UpdateFrom(position), topic,
-        replica.VerificationAge(clock_.Now()), heartbeat->add_updates());
-  }
-  hooks_.send(from, answer);
-  proto::Envelope list;
-  for (const auto& [name, known] : peers_) {
-    if (known.up) {
-      list.mutable_fleet_peers()->add_names(name.value());
-      list.mutable_fleet_peers()->add_addresses(known.address.address);
-    }
-  }
-  if (list.has_fleet_peers()) {
-    hooks_.send(from, list);
+        replica.VerificationAge(now), heartbeat->add_updates());
   }
+  answer_budget_.Spend(heartbeat->ByteSizeLong(), now);
 }
 
 void Mesh::OnPeers(const proto::FleetPeers& peers) {
@@ -311,8 +380,8 @@
       continue;
     }
     peer.next_heartbeat_at = now + interval;
-    if (!peer.heard) {
-      SendPull(name, peer, false);
+    if (IsSeed(name)) {
+      PullPeers(name);
     }
     SendHeartbeat(name, peer,
                   peer.heartbeats_sent % kHeartbeatsPerFullLoads == 0);
@@ -368,22 +437,25 @@
 
 void Mesh::BroadcastUpdate(Topic topic, Update update) {
   const TopicReplica& replica = hooks_.replica(topic);
-  if (update.snapshot) {
-    // A snapshot that lacks unchanged records would remove their keys.
-    update = replica.MakeSnapshot();
-  } else {
+  if (!update.snapshot) {
     // The records between the last change and this update changed nothing.
     update.from = std::min(update.from, changes_end_[IndexOf(topic)]);
   }
   for (const store::Record& record : update.records) {
     MarkChange(topic, record.offset);
   }
-  const Millis age = replica.VerificationAge(clock_.Now());
+  proto::TopicUpdate encoded;
+  EncodeUpdate(update, topic, replica.VerificationAge(clock_.Now()), &encoded);
+  // Heartbeats without records tell peers what they lack.
+  const bool announce =
+      update.snapshot ||
+      encoded.ByteSizeLong() * peers_.size() > kMaxBroadcastBytes;
   for (auto& [name, peer] : peers_) {
     proto::Envelope message = MakeHeartbeat(peer, false);
-    proto::FleetBeat* heartbeat = message.mutable_fleet_beat();
-    heartbeat->clear_updates();
-    EncodeUpdate(update, topic, age, heartbeat->add_updates());
+    if (!announce) {
+      message.mutable_fleet_beat()->clear_updates();
+      *message.mutable_fleet_beat()->add_updates() = encoded;
+    }
     hooks_.send(name, message);
   }
 }
--- a/src/membership/mesh.h
+++ b/src/membership/mesh.h
@@ -9,6 +9,7 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "membership/pull_schedule.h"
 #include "membership/transport.h"
 #include "store/reader_election.h"
 #include "store/topic.h"
@@ -34,6 +35,13 @@
   static constexpr base::Millis kChangeInterval{60};
   /// Every this many heartbeats to a peer, one carries all loads and evidence.
   static constexpr int kHeartbeatsPerFullLoads = 4;
+  /// An update with more bytes than this, for all peers together, is announced
+  /// instead of sent: a small host's link would carry nothing else for seconds.
+  /// Peers pull its records from each other or read them in the store.
+  static constexpr size_t kMaxBroadcastBytes = 1024 * 1024;
+  /// A daemon that lacks records for longer than this reads the store itself,
+  /// whether or not it is the reader.
+  static constexpr base::Millis kPullPatience{150};
   /// A peer that is silent for longer is down; its loads no longer count.
   static constexpr base::Millis kPeerTimeout{1500};
   /// A peer that is silent for this long since it was added or last heard from
@@ -81,7 +89,8 @@
   /// Sends due messages and expires silent peers. Must be called every few tens
   /// of milliseconds.
   void Tick();
-  /// Sends an update that this daemon has read in the store to all peers.
+  /// Sends an update that this daemon has read in the store to all peers, or
+  /// only announces it if it is a snapshot or exceeds `kMaxBroadcastBytes`.
   /// Records that change nothing may be missing from `update`.
   void BroadcastUpdate(store::Topic topic, store::Update update);
   /// Marks the record at `offset`, received from a peer, as a change, so that
@@ -97,6 +106,9 @@
   std::vector<store::PeerReaderStatus> PeerReaderStatuses() const;
   /// Whether a peer that reads the store reports late answers.
   bool IsStoreSlow() const;
+  /// Whether peers have had records of `topic` that this daemon lacks for
+  /// longer than `kPullPatience`.
+  bool IsBehind(store::Topic topic) const;
 
  private:
   struct Peer {
@@ -106,6 +118,8 @@
     /// Whether any message has arrived from the peer.
     bool heard = false;
     bool up = false;
+    /// Whether its last message told of records that this daemon lacks.
+    bool ahead = false;
     bool reading = false;
     bool store_slow = false;
     base::Millis next_heartbeat_at;
@@ -113,7 +127,14 @@
     /// The peer's last timestamp, to be echoed, and the time of its arrival.
     int64_t last_timestamp = 0;
     base::Millis last_timestamp_at;
-    base::Millis last_pull_at{-1'000'000};
+  };
+  /// What peers are known to have of a topic.
+  struct PeerProgress {
+    /// The highest offset up to which a peer is complete.
+    int64_t end = 0;
+    /// Since when this daemon has lacked records before `end`; empty if it
+    /// lacks none.
+    std::optional<base::Millis> behind_since;
   };
 
   /// Returns the current time as a timestamp for peers to echo.
@@ -133,8 +154,19 @@
                     Peer& peer,
                     const proto::FleetBeat& heartbeat);
   /// Asks a peer for the missing records, or with `complete` for snapshots of
-  /// all topics. Does nothing shortly after the last pull from the same peer.
-  void SendPull(const base::HostId& to, Peer& peer, bool complete);
+  /// all topics. Does nothing while the answer of another pull is awaited.
+  void PullRecords(const base::HostId& from, bool complete);
+  /// Asks one of the peers that are ahead, after another has turned this daemon
+  /// away.
+  void PullFromAnother();
+  /// Asks a seed for the addresses of the daemons that are up.
+  void PullPeers(const base::HostId& seed);
+  /// Adds the records that a peer lacks to an answer to its pull, unless the
+  /// budget for answers is spent.
+  void AddMissingRecords(const proto::FleetPull& pull,
+                         proto::FleetBeat* heartbeat);
+  /// Records that peers have the records of `topic` before `end`.
+  void RecordProgress(store::Topic topic, int64_t end);
   void SendHeartbeat(const base::HostId& to, Peer& peer, bool all_loads);
   /// Sends changed loads and new evidence to all peers.
   void SendChanges();
@@ -152,6 +184,10 @@
   /// Per topic, the offset after the last record that changed something. Peers
   /// that are complete up to it miss no changes.
   std::array<int64_t, store::kTopicCount> changes_end_{};
+  std::array<PeerProgress, store::kTopicCount> progress_;
+  PullSchedule pulls_;
+  size_t pulls_asked_elsewhere_ = 0;
+  AnswerBudget answer_budget_;
   base::Millis next_changes_at_;
   bool draining_ = false;
   base::Millis started_at_;
--- a/src/store/follower.cc
+++ b/src/store/follower.cc
@@ -18,7 +18,7 @@
 
 Task<void> Follower::FollowTopic(Topic topic) {
   for (;;) {
-    if (!hooks_.is_reader()) {
+    if (!hooks_.should_read(topic)) {
       co_await base::SleepFor(kIdlePollInterval);
       continue;
     }
--- a/src/store/follower.h
+++ b/src/store/follower.h
@@ -11,8 +11,8 @@
 
 namespace dandelion::store {
 
-/// Reads the store's topics while this daemon is the elected reader, with one
-/// task per topic.
+/// Reads the store's topics while this daemon is the elected reader or lacks
+/// records, with one task per topic.
 class Follower {
  public:
   /// Long-poll time of a read of the operator topic. What a read returns is
@@ -34,8 +34,9 @@
   static constexpr base::Millis kMaxReadAge{1000};
 
   struct Hooks {
-    /// Whether this daemon is the elected reader.
-    std::function<bool()> is_reader;
+    /// Whether this daemon is to read `topic`: it is the elected reader, or
+    /// lacks records that peers have.
+    std::function<bool(Topic)> should_read;
     std::function<const TopicReplica&(Topic)> replica;
     /// Called with the result of every successful read. `verified_at` is the
     /// time at which the read was sent; a partial update does not advance it.
--- a/test/fleet-test.cc
+++ b/test/fleet-test.cc
@@ -97,6 +97,11 @@
     while (!messages_.empty()) {
       Message message = std::move(messages_.front());
       messages_.pop_front();
+      for (const proto::TopicUpdate& update :
+           message.envelope.fleet_beat().updates()) {
+        records_sent_to[message.to] += update.records_size();
+        records_sent_by[message.from] += update.records_size();
+      }
       const auto to = daemons_.find(message.to);
       if (to != daemons_.end()) {
         to->second->mesh->OnMessage(HostId(message.from), message.envelope);
@@ -110,6 +115,9 @@
   }
   /// Drops all messages while set.
   bool disconnected = false;
+  /// Records that were sent between daemons, by receiver and by sender.
+  std::map<std::string, int> records_sent_to;
+  std::map<std::string, int> records_sent_by;
 
  private:
   struct Message {
@@ -306,6 +314,103 @@
   CHECK(late.upstreams->UsableInPool(base::PoolName("pool")).size() == 1);
 }
 
+// The store's newest records: one of `bytes` bytes for each of `count` keys.
+Update MakeLargeSnapshot(int count, size_t bytes) {
+  std::vector<Record> records;
+  for (int i = 0; i < count; ++i) {
+    records.push_back({"u-" + std::to_string(i),
+                       "ready " + std::string(bytes, '1'), false, i});
+  }
+  return MakeSnapshot(count, std::move(records));
+}
+
+// Adds `count` daemons, named from "100" on, that know each other's addresses.
+std::vector<MeshFixture::Daemon*> AddFleet(MeshFixture& fixture, int count) {
+  constexpr int kFirstName = 100;
+  std::vector<MeshFixture::Daemon*> fleet;
+  for (int i = 0; i < count; ++i) {
+    fleet.push_back(&fixture.AddDaemon(std::to_string(kFirstName + i)));
+  }
+  for (MeshFixture::Daemon* daemon : fleet) {
+    for (int i = 0; i < count; ++i) {
+      const std::string name = std::to_string(kFirstName + i);
+      daemon->mesh->AddPeer({HostId(name), "10.0.0.1:" + name});
+    }
+  }
+  return fleet;
+}
+
+TEST_CASE("daemons that return together do not flood each other with snapshots",
+          "[mesh]") {
+  constexpr int kDaemons = 30;
+  constexpr int kRecords = 50;
+  MeshFixture fixture;
+  for (MeshFixture::Daemon* daemon : AddFleet(fixture, kDaemons)) {
+    fixture.ReadFromStore(*daemon, MakeLargeSnapshot(kRecords, 500));
+  }
+  fixture.Advance(Millis(3000));
+  // Each of them has read all records in the store; one answer to a pull each
+  // is allowed for.
+  for (const auto& [name, records] : fixture.records_sent_to) {
+    CHECK(records <= kRecords);
+  }
+  for (const auto& [name, records] : fixture.records_sent_by) {
+    CHECK(records <= kRecords);
+  }
+}
+
+TEST_CASE(
+    "daemons that start without the store share the one snapshot there is",
+    "[mesh]") {
+  constexpr int kDaemons = 30;
+  constexpr int kRecords = 50;
+  constexpr size_t kBytes = 500;
+  MeshFixture fixture;
+  const std::vector<MeshFixture::Daemon*> fleet = AddFleet(fixture, kDaemons);
+  fixture.ReadFromStore(*fleet[0], MakeLargeSnapshot(kRecords, kBytes));
+  constexpr Millis kTime(4000);
+  fixture.Advance(kTime);
+  for (const MeshFixture::Daemon* daemon : fleet) {
+    CHECK(daemon->upstreams->listed_upstreams().size() == kRecords);
+  }
+  for (const auto& [name, records] : fixture.records_sent_to) {
+    CHECK(records <= 2 * kRecords);
+  }
+  // Half of a link of 10 Mbit/s is left to callers.
+  constexpr int64_t kLinkBytesPerMs = 10'000 / 8;
+  for (const auto& [name, records] : fixture.records_sent_by) {
+    CHECK(records * static_cast<int64_t>(kBytes) <=
+          kLinkBytesPerMs / 2 * kTime.count());
+  }
+}
+
+TEST_CASE("a large record is not sent to every peer by the daemon that read it",
+          "[mesh]") {
+  constexpr int kDaemons = 30;
+  constexpr size_t kBytes = 300'000;
+  MeshFixture fixture;
+  const std::vector<MeshFixture::Daemon*> fleet = AddFleet(fixture, kDaemons);
+  for (MeshFixture::Daemon* daemon : fleet) {
+    fixture.ReadFromStore(*daemon, MakeLargeSnapshot(1, 10));
+  }
+  fixture.Advance(Millis(2000));
+  fixture.records_sent_by.clear();
+  fixture.ReadFromStore(
+      *fleet[0], MakeUpdate(1, {{"u-0", "draining " + std::string(kBytes, '1'),
+                                 false, 1}}));
+  fixture.Advance(Millis(500));
+  for (const auto& [name, records] : fixture.records_sent_by) {
+    CHECK(records <= 2);
+  }
+  // The others know that they lack it, and read it in the store themselves.
+  for (const MeshFixture::Daemon* daemon : fleet) {
+    const bool has_record =
+        !daemon->upstreams->listed_upstreams().empty() &&
+        daemon->upstreams->UsableInPool(base::PoolName("pool")).empty();
+    CHECK((has_record || daemon->mesh->IsBehind(Topic::kUpstreams)));
+  }
+}
+
 TEST_CASE("a replica ignores an update that is older than its records",
           "[topic]") {
   store::TopicReplica replica;
@@ -416,7 +521,7 @@
   FailableStore store;
   store::TopicReplica replica;
   store::Follower::Hooks hooks;
-  hooks.is_reader = [] { return true; };
+  hooks.should_read = [](Topic) { return true; };
   hooks.replica = [&replica](Topic) -> const store::TopicReplica& {
     return replica;
   };
