Let other tasks run while peers send without pause

A daemon read all messages of its peers before any other task could run. A small host of a large fleet whose peers send faster than it reads, as after a return or in a burst, answered neither readiness nor callers meanwhile; what it had said of its readiness before still counted.

The transport now reads 16 messages in a row. A peer's queue holds 100 messages in place of 1000: heartbeats that old tell nothing, and 81 full queues did not fit into a small host's memory.

--- a/src/membership/transport.cc
+++ b/src/membership/transport.cc
@@ -7,6 +7,8 @@
 #include <zmq.hpp>
 
 #include <boost/asio/posix/stream_descriptor.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include "absl/cleanup/cleanup.h"
 #include "absl/strings/str_cat.h"
@@ -20,7 +22,9 @@
 using base::kNoThrow;
 using base::Task;
 
-constexpr int kHighWaterMark = 1000;
+// Messages queued for one peer or from it. Heartbeats that are older than this
+// many tell nothing new, and the queues of a large fleet must fit into memory.
+constexpr int kHighWaterMark = 100;
 constexpr int kReconnectMs = 100;
 constexpr int kMaxReconnectMs = 1000;
 // A connection can break without a reset. ZeroMQ reconnects if probes stay
@@ -161,9 +165,14 @@
   }
 
   // The descriptor is edge-triggered, so all messages are read before waiting.
+  // Peers may send faster than this daemon reads, so other tasks run between
+  // batches.
   static Task<void> Receive(std::shared_ptr<ZmqTransportImpl> self) {
     while (!self->closed_) {
-      self->ReadIncoming();
+      if (self->ReadBatch()) {
+        co_await asio::post(self->executor_, asio::use_awaitable);
+        continue;
+      }
       const bool readable = co_await self->incoming_watcher_->WaitReadable();
       if (!readable) {
         break;
@@ -171,9 +180,13 @@
     }
   }
 
-  void ReadIncoming() {
+  // Returns false once no message is left.
+  bool ReadBatch() {
     zmq::message_t bytes;
-    while (!closed_ && incoming_.recv(bytes, zmq::recv_flags::dontwait)) {
+    for (int read = 0; read < ZmqTransport::kMaxBatch; ++read) {
+      if (closed_ || !incoming_.recv(bytes, zmq::recv_flags::dontwait)) {
+        return false;
+      }
       ++counts_.messages_received;
       counts_.bytes_received += bytes.size();
       proto::Envelope message;
@@ -182,6 +195,7 @@
         receiver_(message);
       }
     }
+    return true;
   }
 
   static Task<void> Authenticate(std::shared_ptr<ZmqTransportImpl> self) {
--- a/src/membership/transport.h
+++ b/src/membership/transport.h
@@ -54,6 +54,9 @@
     std::string secret_key;
   };
 
+  /// Messages that are received in a row before other tasks run.
+  static constexpr int kMaxBatch = 16;
+
   /// Binds to `listen` ("IP:PORT") and connects to `peers`. Fails with
   /// `kInvalidSettings` if an address or a key is unusable.
   static absl::StatusOr<std::unique_ptr<ZmqTransport>> Make(
