Tie readiness to the port that takes callers

A daemon said that it was ready whatever became of its caller port. Class of fault: readiness that is not derived from the ability to serve.

- without a free descriptor accepting failed every 10 ms, silently, while the balancer's kept connection needs no descriptor;
- idle connections were never closed: the idle timeout did not reach the wait for a request.
Those of callers that are gone without a reset stayed for good;
- the limits on connections lay above the descriptors of a small host, and counted idle connections like others;
- one connection was accepted for each turn of the event loop: 30 turns for 30 callers that arrive together;
- dandeliond said that it was ready although it could not listen.

Now readiness asks Server::CanAccept and the event loop's lag, in both programs. At the limit or without a descriptor the connection that has been idle for longest is closed. The wait for a request ends after the idle timeout, 3 s later than the configuration says, as callers may go by an earlier one. Connections are accepted in batches of 32.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -5,6 +5,7 @@
 #include <boost/beast/http.hpp>
 #include <charconv>
 #include <chrono>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -57,8 +58,11 @@
 /// One accepted connection.
 class Session : public Exchange, public std::enable_shared_from_this<Session> {
  public:
-  Session(tcp::socket socket, const ServerLimits& limits)
-      : limits_(limits),
+  Session(tcp::socket socket,
+          asio::ip::address remote,
+          const ServerLimits& limits)
+      : remote_(std::move(remote)),
+        limits_(limits),
         stream_(std::move(socket)),
         read_timer_(stream_.get_executor()) {}
 
@@ -180,6 +184,10 @@
   bool busy() const { return busy_ || receiving_; }
   /// Whether a request has begun to arrive and is not complete.
   bool receiving() const { return receiving_; }
+  const asio::ip::address& remote() const { return remote_; }
+  /// Since when the connection has waited for its next request. Meaningful if
+  /// `idle`.
+  Millis idle_since() const { return idle_since_; }
   /// Whether the connection is between two requests.
   bool idle() {
     boost::system::error_code error;
@@ -225,10 +233,8 @@
   Task<bool> ReadRequest(beast::flat_buffer& buffer,
                          bhttp::request_parser<bhttp::string_body>& parser) {
     if (buffer.size() == 0) {
-      SetTimeout(limits_.idle_timeout);
-      const auto [idle_error] = co_await stream_.socket().async_wait(
-          tcp::socket::wait_read, kNoThrow);
-      if (idle_error) {
+      const bool readable = co_await WaitForRequest();
+      if (!readable) {
         co_return false;
       }
     }
@@ -260,6 +266,21 @@
     co_return false;
   }
 
+  // Waits for the first byte of a request. Returns false if the caller has
+  // disconnected, or if nothing came within the idle timeout.
+  Task<bool> WaitForRequest() {
+    idle_since_ = clock_.Now();
+    stream_.expires_never();
+    StartReadTimer(limits_.idle_timeout);
+    const auto [error] =
+        co_await stream_.socket().async_wait(tcp::socket::wait_read, kNoThrow);
+    StopReadTimer();
+    // On a loop that lags, a request may have come with the timeout.
+    boost::system::error_code available_error;
+    co_return !error ||
+        (read_timed_out_ && stream_.socket().available(available_error) > 0);
+  }
+
   // Cancels the read in progress after `timeout`. The stream's own timeout
   // would close the socket, so that the request could not be rejected.
   void StartReadTimer(Millis timeout) {
@@ -312,7 +333,10 @@
     stream_.expires_after(std::chrono::milliseconds(timeout.count()));
   }
 
+  asio::ip::address remote_;
   const ServerLimits& limits_;
+  base::Clock clock_ = base::Clock::Monotonic();
+  Millis idle_since_;
   beast::tcp_stream stream_;
   asio::steady_timer read_timer_;
   Request request_;
@@ -367,6 +391,8 @@
     if (error) {
       return ListenError(acceptor_.local_endpoint(), error);
     }
+    acceptor_.non_blocking(true, error);
+    listening_ = true;
     base::Spawn(executor_, AcceptLoop(shared_from_this()));
     return absl::OkStatus();
   }
@@ -377,16 +403,11 @@
     }
     // Closing the acceptor resets connections that are still in the backlog, so
     // accept them first.
-    boost::system::error_code error;
-    acceptor_.non_blocking(true, error);
-    while (!error) {
-      tcp::socket socket(executor_);
-      acceptor_.accept(socket, error);
-      if (!error) {
-        StartSession(std::move(socket));
-      }
-    }
-    acceptor_.close(error);
+    constexpr int kUnlimited = std::numeric_limits<int>::max();
+    AcceptWaiting(kUnlimited);
+    listening_ = false;
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
   }
 
   void CloseIdle() {
@@ -418,11 +439,22 @@
   }
 
   size_t connections() const { return sessions_.size(); }
+
+  bool CanAccept() const {
+    return listening_ && !accept_failing_since_ &&
+           (sessions_.size() < limits_.connections || FindLongestIdle());
+  }
+
   unsigned short port() const { return port_; }
   void DisableKeepAlive() { close_after_response_ = true; }
   void SetLimits(const ServerLimits& limits) { limits_ = limits; }
 
  private:
+  // Connections accepted in a row before other tasks run.
+  static constexpr int kAcceptBatch = 32;
+  // Pause after a failed accept.
+  static constexpr Millis kAcceptRetryInterval{10};
+
   static absl::Status ListenError(const tcp::endpoint& endpoint,
                                   const boost::system::error_code& error) {
     return base::MakeError(
@@ -441,14 +473,78 @@
         co_return;
       }
       if (error) {
+        // Accepting fails when the process is out of file descriptors. If no
+        // connection can be closed, exchanges in progress must release some.
         self->RecordAcceptFailure(error);
-        // Accepting fails when the process is out of file descriptors. Wait for
-        // exchanges in progress to release some.
-        co_await base::SleepFor(Millis(10));
+        self->CloseLongestIdle();
+        co_await base::SleepFor(kAcceptRetryInterval);
         continue;
       }
       self->RecordAccept();
       self->StartSession(std::move(socket));
+      self->AcceptWaiting(kAcceptBatch - 1);
+    }
+  }
+
+  // Accepts up to `count` connections that are established already. Callers
+  // that arrive together would otherwise wait for one turn of the event loop
+  // each.
+  void AcceptWaiting(int count) {
+    boost::system::error_code error;
+    for (int accepted = 0; accepted < count; ++accepted) {
+      tcp::socket socket(executor_);
+      acceptor_.accept(socket, error);
+      if (error) {
+        return;
+      }
+      RecordAccept();
+      StartSession(std::move(socket));
+    }
+  }
+
+  // The connection that has been idle for longest; null if none is idle.
+  Session* FindLongestIdle() const {
+    Session* longest = nullptr;
+    for (Session* session : sessions_) {
+      if (session->idle() &&
+          (!longest || session->idle_since() < longest->idle_since())) {
+        longest = session;
+      }
+    }
+    return longest;
+  }
+
+  // Closes the connection that has been idle for longest. Returns false if none
+  // is idle.
+  bool CloseLongestIdle() {
+    Session* longest = FindLongestIdle();
+    if (!longest) {
+      return false;
+    }
+    longest->CloseNow();
+    Remove(longest);
+    return true;
+  }
+
+  // Whether one more connection from an address with `from_address` of them
+  // may be opened, after an idle one was closed if need be.
+  bool MakeRoom(size_t from_address) {
+    if (from_address >= limits_.connections_per_address) {
+      return false;
+    }
+    return sessions_.size() < limits_.connections || CloseLongestIdle();
+  }
+
+  // Takes a connection out of the counts; does nothing if it was.
+  void Remove(Session* session) {
+    const auto found = sessions_.find(session);
+    if (found == sessions_.end()) {
+      return;
+    }
+    sessions_.erase(found);
+    const auto entry = sessions_per_address_.find(session->remote());
+    if (--entry->second == 0) {
+      sessions_per_address_.erase(entry);
     }
   }
 
@@ -488,11 +584,13 @@
                                     tcp::socket socket,
                                     asio::ip::address remote) {
     const auto owned =
-        std::make_shared<Session>(std::move(socket), self->limits_);
+        std::make_shared<Session>(std::move(socket), remote, self->limits_);
     Session& session = *owned;
-    size_t& sessions_from_remote = self->sessions_per_address_[remote];
-    if (self->sessions_.size() >= self->limits_.connections ||
-        sessions_from_remote >= self->limits_.connections_per_address) {
+    const auto from_remote = self->sessions_per_address_.find(remote);
+    const bool has_room = self->MakeRoom(
+        from_remote == self->sessions_per_address_.end() ? 0
+                                                         : from_remote->second);
+    if (!has_room) {
       if (self->hooks_.on_rejected) {
         self->hooks_.on_rejected();
       }
@@ -500,14 +598,10 @@
                                          "close idle connections and retry"));
       co_return;
     }
-    ++sessions_from_remote;
+    ++self->sessions_per_address_[remote];
     self->sessions_.insert(&session);
-    const absl::Cleanup remove_session = [&self, &session, &remote] {
-      self->sessions_.erase(&session);
-      const auto entry = self->sessions_per_address_.find(remote);
-      if (--entry->second == 0) {
-        self->sessions_per_address_.erase(entry);
-      }
+    const absl::Cleanup remove_session = [&self, &session] {
+      self->Remove(&session);
     };
     co_await session.ServeRequests(self->handler_, self->close_after_response_);
   }
@@ -523,6 +617,7 @@
   std::set<Session*> sessions_;
   std::map<asio::ip::address, size_t> sessions_per_address_;
   unsigned short port_ = 0;
+  bool listening_ = false;
   bool close_after_response_ = false;
 };
 
@@ -575,6 +670,9 @@
 size_t Server::connections() const {
   return impl_->connections();
 }
+bool Server::CanAccept() const {
+  return impl_->CanAccept();
+}
 
 bool ParseEndpoint(std::string_view text, tcp::endpoint* endpoint) {
   const size_t colon = text.rfind(':');
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -20,10 +20,13 @@
   size_t body_bytes = 4 * 1024 * 1024;
   base::Millis header_timeout = base::Millis(10'000);
   base::Millis body_timeout = base::Millis(30'000);
-  /// Limit of the wait for the first byte of a request.
+  /// Limit of the wait for the first byte of a request; the connection is then
+  /// closed.
   base::Millis idle_timeout = base::Millis(60'000);
   /// A caller that does not accept a write within this time is disconnected.
   base::Millis write_timeout = base::Millis(30'000);
+  /// Open connections. At the limit, or without a free descriptor, the one that
+  /// has waited longest for another request is closed to make room.
   size_t connections = 4096;
   size_t connections_per_address = 2048;
 };
@@ -114,6 +117,10 @@
   size_t arriving() const;
   /// Number of open connections.
   size_t connections() const;
+  /// Whether new connections are taken: the server listens, accepting does not
+  /// fail, and there is room or a connection that can be closed to make some.
+  /// Readiness must depend on it.
+  bool CanAccept() const;
 
  private:
   class Impl;
--- a/src/kernel/daemon.cc
+++ b/src/kernel/daemon.cc
@@ -53,7 +53,7 @@
   http::ServerLimits limits;
   limits.header_bytes = tuning.header_bytes;
   limits.body_bytes = tuning.body_bytes;
-  limits.connections = tuning.connections;
+  limits.connections = std::min(tuning.connections, CallerConnectionLimit(0));
   limits.connections_per_address = tuning.connections_per_address;
   return limits;
 }
@@ -323,6 +323,7 @@
         const absl::Status open = entry_server_.StartAccepting();
         if (!open.ok()) {
           Emit(Event::kStartFailed, {{"reason", std::string(open.message())}});
+          return;
         }
         Emit(Event::kDaemonReady,
              {{"version", absl::StrCat(tables->version.count())}});
@@ -458,6 +459,12 @@
     if (tables->drained_data_centres.contains(settings_.data_centre)) {
       return {false, "the data centre is drained"};
     }
+    if (!entry_server_.CanAccept()) {
+      return {false, "the entry port takes no new connection"};
+    }
+    if (loop_monitor_.lag() >= LoopMonitor::kMaxReadyLag) {
+      return {false, "the event loop lags"};
+    }
     return {true, "ready"};
   }
 
--- a/src/kernel/fleet_daemon.cc
+++ b/src/kernel/fleet_daemon.cc
@@ -57,6 +57,8 @@
 // Answers are given at least so many turns of the event loop, also if it lags.
 constexpr int kMinFinalChecks = 4;
 constexpr Millis kDrainCheckInterval{20};
+// Callers may still go by the idle timeout of an earlier configuration.
+constexpr Millis kIdleTimeoutMargin{3000};
 
 }  // namespace
 
@@ -94,7 +96,7 @@
                     [this] { return MakeAdmissionState(); }}),
         caller_server_(
             executor,
-            http::ServerLimits(),
+            CallerLimits(),
             [this](http::Exchange& exchange) {
               return forwarder_.Handle(exchange);
             },
@@ -331,7 +333,13 @@
     return !stop_.is_set() && fleet_state_.catalogue() &&
            fleet_state_.VerificationAgeOf(Topic::kOperator) <
                kMaxReadyConfigAge &&
-           !upstreams_.listed_upstreams().empty();
+           !upstreams_.listed_upstreams().empty() && TakesCallers();
+  }
+
+  // Whether the caller port takes new connections in time.
+  bool TakesCallers() const {
+    return caller_server_.CanAccept() &&
+           loop_monitor_.lag() < LoopMonitor::kMaxReadyLag;
   }
 
   void ReportReadiness() {
@@ -345,7 +353,9 @@
           {"config_age_ms",
            absl::StrCat(
                fleet_state_.VerificationAgeOf(Topic::kOperator).count())},
-          {"upstreams", absl::StrCat(upstreams_.listed_upstreams().size())}});
+          {"upstreams", absl::StrCat(upstreams_.listed_upstreams().size())},
+          {"can_accept", caller_server_.CanAccept() ? "1" : "0"},
+          {"lag_ms", absl::StrCat(loop_monitor_.lag().count())}});
   }
 
   Task<void> HandleReadiness(http::Exchange& exchange) {
@@ -433,16 +443,25 @@
     return hooks;
   }
 
+  // The load balancer may hide the callers' addresses, so one address may have
+  // all connections.
+  http::ServerLimits CallerLimits() const {
+    http::ServerLimits limits;
+    limits.connections = CallerConnectionLimit(settings_.max_descriptors);
+    limits.connections_per_address = limits.connections;
+    return limits;
+  }
+
   fleet::FleetState::Hooks FleetStateHooks() {
     fleet::FleetState::Hooks hooks;
     hooks.parse_operator_record = adapter_.parse_operator_record;
     hooks.parse_upstream_entry = adapter_.parse_upstream_entry;
     hooks.on_catalogue = [this](const fleet::CataloguePtr& catalogue) {
-      http::ServerLimits limits;
+      http::ServerLimits limits = CallerLimits();
       limits.header_bytes = catalogue->limits.header_bytes;
       limits.body_bytes = catalogue->limits.body_bytes;
       limits.header_timeout = catalogue->limits.header_timeout;
-      limits.idle_timeout = catalogue->limits.idle_timeout;
+      limits.idle_timeout = catalogue->limits.idle_timeout + kIdleTimeoutMargin;
       caller_server_.SetLimits(limits);
     };
     return hooks;
--- a/src/kernel/fleet_settings.cc
+++ b/src/kernel/fleet_settings.cc
@@ -141,6 +141,10 @@
       {"repeat_window_s", NumberField([](double s, FleetSettings* settings) {
          settings->retry_window = FromSeconds(s);
        })},
+      {"max_descriptors",
+       NumberField([](double count, FleetSettings* settings) {
+         settings->max_descriptors = static_cast<size_t>(count);
+       })},
       {"stop_grace_s", NumberField([](double s, FleetSettings* settings) {
          settings->stop_grace = FromSeconds(s);
        })},
--- a/src/kernel/fleet_settings.h
+++ b/src/kernel/fleet_settings.h
@@ -39,6 +39,8 @@
   double retry_ratio = 0.2;
   double retry_slack = 10;
   base::Millis retry_window{10'000};
+  /// Descriptors that the process may have open; 0 if not known.
+  size_t max_descriptors = 0;
   /// Time from the stop signal until the process is killed.
   base::Millis stop_grace{8000};
 };
--- a/src/kernel/loop_monitor.cc
+++ b/src/kernel/loop_monitor.cc
@@ -15,7 +15,8 @@
   for (;;) {
     const Millis due = clock_.Now() + kInterval;
     co_await base::SleepFor(kInterval);
-    on_check_(std::max(Millis(0), clock_.Now() - due));
+    lag_ = std::max(Millis(0), clock_.Now() - due);
+    on_check_(lag_);
   }
 }
 
