Keep the limits that upstreams name, for all daemons together

Cause: nothing read the header. Class: limits that hold for the sum over hosts, kept by each host for itself. The same class stood in the limit on cold upstreams: each daemon sent its share but at least one a second, so that 82 daemons could send 82 a second to an upstream that takes 28.

Change: routing::SelfReports keeps what upstreams say of themselves in their answers, with the time at which they said it and the incarnation that said it; daemons share it on heartbeats. Every choice of an upstream asks it: first sends, waiting requests, retries, migration targets, polls of reports. A limit is divided by rendezvous rank among the daemons that are up: the parts add up to the limit, also where there are fewer requests than daemons, without a message for each send. Cold upstreams use the same division. Ruled out: sums of recent sends on heartbeats alone, which are late on hosts that lag, as many daemons choose the same upstream before they hear of each other.

--- a/src/kernel/fleet_daemon.cc
+++ b/src/kernel/fleet_daemon.cc
@@ -18,6 +18,8 @@
 #include "membership/transport.h"
 #include "relay/forwarder.h"
 #include "routing/load_exchange.h"
+#include "routing/self_report_exchange.h"
+#include "routing/self_reports.h"
 #include "store/follower.h"
 #include "store/reader_election.h"
 #include "telemetry/events.h"
@@ -82,17 +84,20 @@
               MeshHooks()),
         health_(HealthHooks()),
         quarantine_(settings_.host, MakeQuarantineHooks(metrics_)),
+        self_reports_(SelfReportHooks()),
         placer_(clock_,
                 settings_.data_centre,
                 upstreams_,
                 loads_,
                 health_,
-                {[this] { return mesh_.DaemonCount(); }}),
+                self_reports_,
+                {[this](const UpstreamId& id) { return RankFor(id); }}),
         migrator_(executor, clock_, adapter_.engines, MigratorHooks()),
         retry_budget_(RetryBounds()),
         forwarder_({executor, clock_, adapter_.protocol, placer_, migrator_,
-                    adapter_.engines, health_, retry_budget_, metrics_, stop_,
-                    quarantine_, [this] { return mesh_.DaemonCount(); },
+                    adapter_.engines, health_, self_reports_, retry_budget_,
+                    metrics_, stop_, quarantine_,
+                    [this] { return mesh_.DaemonCount(); },
                     [this] { return MakeAdmissionState(); }}),
         caller_server_(
             executor,
@@ -316,13 +321,18 @@
       }
       for (const UpstreamId& id : migrator_.UsedEngines()) {
         const fleet::Upstream* upstream = upstreams_.Find(id);
-        if (!upstream || upstream->leaving_since) {
+        if (!upstream || upstream->leaving_since ||
+            !self_reports_.MaySend(id, clock_.Now())) {
           continue;
         }
         const auto address = upstream->entry.address;
         const absl::StatusOr<relay::EngineReport> report =
             co_await adapter_.engines.FetchEngineReport(address);
-        if (report.ok() && report->leaving) {
+        if (!report.ok()) {
+          continue;
+        }
+        RecordSelfReport(id, report->self);
+        if (report->leaving) {
           upstreams_.MarkLeaving(id, "its own report", clock_.Now());
         }
       }
@@ -419,7 +429,8 @@
 
   fleet::UpstreamList::Hooks UpstreamHooks() {
     fleet::UpstreamList::Hooks hooks;
-    hooks.on_listed = [](const fleet::Upstream& upstream) {
+    hooks.on_listed = [this](const fleet::Upstream& upstream) {
+      self_reports_.OnListed(upstream.id, upstream.entry.started_at);
       Emit(Event::kUpstreamListed,
            {{"upstream", upstream.id.value()},
             {"pool", upstream.entry.pool.value()},
@@ -516,6 +527,13 @@
                                     const proto::PartEvidence& evidence) {
       admission::ApplyPartEvidence(from, evidence, clock_.Now(), quarantine_);
     };
+    hooks.add_self_reports = [this](bool all, proto::FleetBeat* heartbeat) {
+      routing::AddSelfReports(self_reports_, all, clock_.Now(), heartbeat);
+    };
+    hooks.has_new_self_reports = [this] { return self_reports_.has_changes(); };
+    hooks.on_self_reports = [this](const proto::FleetBeat& heartbeat) {
+      routing::ApplySelfReports(heartbeat, clock_.Now(), self_reports_);
+    };
     hooks.on_peer_down = [this](const HostId& id) {
       loads_.RemovePeerLoads(id);
     };
@@ -537,6 +555,39 @@
             }};
   }
 
+  routing::SelfReports::Hooks SelfReportHooks() {
+    routing::SelfReports::Hooks hooks;
+    hooks.on_leaving = [this](const UpstreamId& id) {
+      upstreams_.MarkLeaving(id, "its own answer", clock_.Now());
+    };
+    hooks.on_limit = [this](const UpstreamId& id,
+                            std::optional<double> per_second) {
+      Emit(Event::kUpstreamLimited,
+           {{"upstream", id.value()},
+            {"per_second", per_second ? absl::StrCat(*per_second) : ""},
+            {"daemons", absl::StrCat(mesh_.DaemonCount())}});
+    };
+    hooks.on_pause = [](const UpstreamId& id, Millis pause) {
+      Emit(Event::kUpstreamPaused, {{"upstream", id.value()},
+                                    {"pause_ms", absl::StrCat(pause.count())}});
+    };
+    hooks.rank = [this](const UpstreamId& id) { return RankFor(id); };
+    return hooks;
+  }
+
+  routing::DaemonRank RankFor(const UpstreamId& id) const {
+    return {mesh_.RankFor(id.value()), mesh_.DaemonCount()};
+  }
+
+  // Records what an engine said in its answer to an order. Such an answer need
+  // not name the engine's limit, so that its absence does not end one.
+  void RecordSelfReport(const UpstreamId& id,
+                        const routing::SelfReport& report) {
+    if (!report.empty()) {
+      self_reports_.RecordAnswer(id, report, clock_.Now());
+    }
+  }
+
   migration::Migrator::Hooks MigratorHooks() {
     migration::Migrator::Hooks hooks;
     hooks.choose = [this](const migration::ActiveGeneration& generation,
@@ -547,6 +598,10 @@
       const fleet::Upstream* upstream = upstreams_.Find(id);
       return upstream && upstream->leaving_since;
     };
+    hooks.on_self_report = [this](const UpstreamId& id,
+                                  const routing::SelfReport& report) {
+      RecordSelfReport(id, report);
+    };
     return hooks;
   }
 
@@ -578,6 +633,7 @@
   routing::LoadTracker loads_;
   routing::UpstreamHealth health_;
   admission::PartQuarantine quarantine_;
+  routing::SelfReports self_reports_;
   relay::Placer placer_;
   migration::Migrator migrator_;
   relay::PoolRetryBudget retry_budget_;
--- a/src/membership/mesh.cc
+++ b/src/membership/mesh.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "membership/membership.h"
 #include "telemetry/events.h"
 
 namespace dandelion::membership {
@@ -167,6 +168,7 @@
   if (heartbeat.has_part_evidence()) {
     hooks_.on_part_evidence(from, heartbeat.part_evidence());
   }
+  hooks_.on_self_reports(heartbeat);
 }
 
 void Mesh::ApplyUpdates(const HostId& from,
@@ -365,6 +367,7 @@
     }
     *message.mutable_fleet_beat()->mutable_part_evidence() =
         hooks_.part_evidence(true);
+    hooks_.add_self_reports(true, message.mutable_fleet_beat());
   }
   hooks_.send(to, message);
 }
@@ -387,8 +390,10 @@
                   peer.heartbeats_sent % kHeartbeatsPerFullLoads == 0);
     ++peer.heartbeats_sent;
   }
-  if (now >= next_changes_at_ &&
-      (hooks_.loads_changed() || hooks_.has_new_part_evidence())) {
+  const bool has_changes = hooks_.loads_changed() ||
+                           hooks_.has_new_part_evidence() ||
+                           hooks_.has_new_self_reports();
+  if (now >= next_changes_at_ && has_changes) {
     next_changes_at_ = now + kChangeInterval;
     SendChanges();
   }
@@ -400,6 +405,8 @@
   if (hooks_.has_new_part_evidence()) {
     evidence = hooks_.part_evidence(false);
   }
+  proto::FleetBeat reports;
+  hooks_.add_self_reports(false, &reports);
   for (auto& [name, peer] : peers_) {
     proto::Envelope message = MakeHeartbeat(peer, false);
     for (const proto::UpstreamLoad& load : changed_loads) {
@@ -408,6 +415,8 @@
     if (evidence) {
       *message.mutable_fleet_beat()->mutable_part_evidence() = *evidence;
     }
+    *message.mutable_fleet_beat()->mutable_self_reports() =
+        reports.self_reports();
     hooks_.send(name, message);
   }
 }
@@ -471,6 +480,15 @@
                  [](const auto& item) { return item.second.up; }));
 }
 
+size_t Mesh::RankFor(std::string_view key) const {
+  const uint64_t own_weight = RendezvousWeight(key, self_.id.value());
+  return static_cast<size_t>(
+      std::count_if(peers_.begin(), peers_.end(), [&](const auto& item) {
+        return item.second.up &&
+               RendezvousWeight(key, item.first.value()) > own_weight;
+      }));
+}
+
 bool Mesh::IsStoreSlow() const {
   return std::any_of(peers_.begin(), peers_.end(), [](const auto& item) {
     return item.second.up && item.second.reading && item.second.store_slow;
--- a/src/membership/mesh.h
+++ b/src/membership/mesh.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/clock.h"
@@ -69,6 +70,11 @@
     std::function<bool()> has_new_part_evidence;
     std::function<void(const base::HostId&, const proto::PartEvidence&)>
         on_part_evidence;
+    /// Adds what upstreams said of themselves to a heartbeat: all, or only what
+    /// is new since the last call.
+    std::function<void(bool all, proto::FleetBeat*)> add_self_reports;
+    std::function<bool()> has_new_self_reports;
+    std::function<void(const proto::FleetBeat&)> on_self_reports;
     std::function<void(const base::HostId&)> on_peer_down;
     /// Whether this daemon reads the store.
     std::function<bool()> is_reader;
@@ -102,6 +108,9 @@
 
   /// Counts the daemons that are up, including this one.
   size_t DaemonCount() const;
+  /// This daemon's rank by rendezvous hashing for `key` among the daemons that
+  /// are up, from 0.
+  size_t RankFor(std::string_view key) const;
   /// The reader status of all peers that have ever sent a message.
   std::vector<store::PeerReaderStatus> PeerReaderStatuses() const;
   /// Whether a peer that reads the store reports late answers.
--- a/src/migration/migrator.cc
+++ b/src/migration/migrator.cc
@@ -144,6 +144,7 @@
   const KvCacheCopyResult result = co_await engines_.CopyKvCache(
       source_address, generation->id, target_address, false, kCopyTimeout);
   const Millis took = clock_.Now() - started;
+  hooks_.on_self_report(source, result.self);
   Emit(Event::kRunCopied, {{"request", generation->id.value()},
                            {"from", source.value()},
                            {"to", target.value()},
@@ -185,10 +186,12 @@
   };
   const auto source_address = generation->place.address;
   const auto target_address = generation->copy->place.address;
+  const UpstreamId source = generation->place.upstream;
   const Millis started = clock_.Now();
   const KvCacheCopyResult result = co_await engines_.CopyKvCache(
       source_address, generation->id, target_address, true, kCopyTimeout);
   const Millis took = clock_.Now() - started;
+  hooks_.on_self_report(source, result.self);
   Emit(
       Event::kRunCopied,
       {{"request", generation->id.value()},
--- a/src/migration/migrator.h
+++ b/src/migration/migrator.h
@@ -26,6 +26,9 @@
         choose;
     /// Returns whether an engine is known to be leaving.
     std::function<bool(const base::UpstreamId&)> leaving;
+    /// Called with what an engine says of itself as it answers an order.
+    std::function<void(const base::UpstreamId&, const routing::SelfReport&)>
+        on_self_report;
   };
 
   Migrator(const base::Executor& executor,
--- a/src/relay/forwarder.h
+++ b/src/relay/forwarder.h
@@ -31,6 +31,7 @@
   migration::Migrator& migrator;
   EngineControl& engines;
   routing::UpstreamHealth& health;
+  routing::SelfReports& self_reports;
   PoolRetryBudget& retry_budget;
   telemetry::Metrics& metrics;
   const admission::StopDeadline& stop;
--- a/src/relay/placer.cc
+++ b/src/relay/placer.cc
@@ -49,12 +49,14 @@
                const fleet::UpstreamList& upstreams,
                routing::LoadTracker& loads,
                routing::UpstreamHealth& health,
+               routing::SelfReports& self_reports,
                Hooks hooks)
     : clock_(std::move(clock)),
       data_centre_(std::move(data_centre)),
       upstreams_(upstreams),
       loads_(loads),
       health_(health),
+      self_reports_(self_reports),
       hooks_(std::move(hooks)) {}
 
 std::vector<UpstreamCandidate> Placer::FindCandidates(
@@ -65,6 +67,7 @@
   for (const fleet::Upstream* upstream :
        upstreams_.UsableInPool(request.pool.name)) {
     if (request.excluded.contains(upstream->id) ||
+        !self_reports_.MaySend(upstream->id, now) ||
         ColdLimitReached(*upstream, request.pool)) {
       continue;
     }
@@ -132,6 +135,7 @@
                                       const routing::Load& load) {
   const fleet::Upstream& upstream = *upstreams_.Find(id);
   RecordColdPlacement(upstream);
+  self_reports_.RecordSend(id, clock_.Now());
   migration::Place place;
   place.upstream = upstream.id;
   place.address = upstream.entry.address;
@@ -194,6 +198,23 @@
                      });
 }
 
+std::optional<Millis> Placer::SendableAt(const PlaceRequest& request) const {
+  const Millis now = clock_.Now();
+  std::optional<Millis> soonest;
+  for (const fleet::Upstream* upstream :
+       upstreams_.UsableInPool(request.pool.name)) {
+    if (request.excluded.contains(upstream->id)) {
+      continue;
+    }
+    const std::optional<Millis> at =
+        self_reports_.SendableAt(upstream->id, now);
+    if (at && (!soonest || *at < *soonest)) {
+      soonest = at;
+    }
+  }
+  return soonest;
+}
+
 void Placer::CancelWait(uint64_t ticket) {
   const auto waiting = waiting_.find(ticket);
   if (waiting == waiting_.end()) {
@@ -241,16 +262,12 @@
     return false;
   }
   const auto sends = cold_sends_.find(upstream.id);
-  if (sends == cold_sends_.end()) {
-    return false;
-  }
-  const auto recent =
-      std::count_if(sends->second.begin(), sends->second.end(),
-                    [now](Millis at) { return now - at <= kColdWindow; });
-  const double share =
-      pool.cold_requests_per_second /
-      static_cast<double>(std::max<size_t>(1, hooks_.daemons()));
-  return static_cast<double>(recent) >= std::max(1.0, share);
+  const int64_t recent =
+      sends == cold_sends_.end() ? 0 : sends->second.Count(now, kColdWindow);
+  const auto total = static_cast<int64_t>(pool.cold_requests_per_second *
+                                          kColdWindow.seconds());
+  return recent >= routing::ShareOf(std::max<int64_t>(1, total),
+                                    hooks_.rank(upstream.id));
 }
 
 void Placer::RecordColdPlacement(const fleet::Upstream& upstream) {
@@ -259,11 +276,7 @@
     cold_sends_.erase(upstream.id);
     return;
   }
-  std::deque<Millis>& sends = cold_sends_[upstream.id];
-  sends.push_back(now);
-  while (now - sends.front() > kColdWindow) {
-    sends.pop_front();
-  }
+  cold_sends_[upstream.id].Record(now);
 }
 
 }  // namespace dandelion::relay
--- a/src/relay/placer.h
+++ b/src/relay/placer.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -14,6 +13,8 @@
 #include "fleet/upstream_list.h"
 #include "migration/active_generation.h"
 #include "routing/load_tracker.h"
+#include "routing/rate_share.h"
+#include "routing/self_reports.h"
 #include "routing/upstream_choice.h"
 #include "routing/upstream_health.h"
 
@@ -50,8 +51,9 @@
 class Placer {
  public:
   struct Hooks {
-    /// Number of daemons that share the limit on requests to cold upstreams.
-    std::function<size_t()> daemons;
+    /// This daemon's rank among those that share the limit on requests to a
+    /// cold upstream.
+    std::function<routing::DaemonRank(const base::UpstreamId&)> rank;
   };
   /// Most waiting requests of one organisation in a pool's queue.
   static constexpr size_t kMaxWaitingPerOrganisation = 200;
@@ -64,6 +66,7 @@
          const fleet::UpstreamList& upstreams,
          routing::LoadTracker& loads,
          routing::UpstreamHealth& health,
+         routing::SelfReports& self_reports,
          Hooks hooks);
 
   /// Called with the place, or with nothing if every usable upstream has failed
@@ -130,9 +133,13 @@
   migration::Place ReservePlace(const base::UpstreamId& id,
                                 const routing::Load& load);
   /// Whether a cold upstream has had this daemon's share of the requests that
-  /// its pool allows per second, which is at least one.
+  /// its pool allows per second.
   bool ColdLimitReached(const fleet::Upstream& upstream,
                         const fleet::Pool& pool) const;
+  /// When the first of the upstreams that `request` may still use takes
+  /// requests again, by what they say of themselves: empty if none of them
+  /// does, or if there is none.
+  std::optional<base::Millis> SendableAt(const PlaceRequest& request) const;
   void RecordColdPlacement(const fleet::Upstream& upstream);
 
   base::Clock clock_;
@@ -140,12 +147,13 @@
   const fleet::UpstreamList& upstreams_;
   routing::LoadTracker& loads_;
   routing::UpstreamHealth& health_;
+  routing::SelfReports& self_reports_;
   Hooks hooks_;
   std::map<base::PoolName, PoolQueue> queues_;
   std::map<uint64_t, Waiting> waiting_;
   uint64_t last_ticket_ = 0;
-  /// Times of the placements at each cold upstream in the last second.
-  std::map<base::UpstreamId, std::deque<base::Millis>> cold_sends_;
+  /// The placements at each cold upstream.
+  mutable std::map<base::UpstreamId, routing::SendWindow> cold_sends_;
 };
 
 }  // namespace dandelion::relay
--- a/src/relay/platform_protocol.h
+++ b/src/relay/platform_protocol.h
@@ -12,6 +12,7 @@
 #include "base/ids.h"
 #include "base/task.h"
 #include "http/message.h"
+#include "routing/self_reports.h"
 
 namespace dandelion::relay {
 
@@ -69,6 +70,8 @@
   bool has_content_encoding = false;
   /// ID of the request that is answered; empty if the answer has none.
   base::RequestId request;
+  /// What the upstream says of itself.
+  routing::SelfReport self = {};
 };
 
 /// Converts requests and answers between the daemon and the headers of one
@@ -112,6 +115,8 @@
   std::string handle;
   /// Number of events that the engine had generated.
   int64_t events_produced = 0;
+  /// What the engine at the source says of itself.
+  routing::SelfReport self = {};
 };
 
 /// State that an engine reports about itself. It may be some hundred
@@ -119,6 +124,8 @@
 struct EngineReport {
   /// The engine announced that it ends soon.
   bool leaving = false;
+  /// What the engine says of itself in the head of its answer.
+  routing::SelfReport self = {};
 };
 
 /// Control requests to model engines.
--- a/src/relay/send_once.cc
+++ b/src/relay/send_once.cc
@@ -47,6 +47,17 @@
   }
 }
 
+// Records what the upstream said of itself, if the answer is its own.
+void RecordSelfReport(const ForwardServices& services,
+                      const migration::Place& place,
+                      const UpstreamReply& reply,
+                      Millis now) {
+  if (reply.end == SendOutcome::kAnswered ||
+      reply.end == SendOutcome::kNotRun) {
+    services.self_reports.RecordAnswer(place.upstream, reply.answer.self, now);
+  }
+}
+
 }  // namespace
 
 Task<UpstreamReply> SendOnce(const ForwardServices& services,
@@ -87,6 +98,7 @@
   call->history.RecordSend(reply.end);
   const Millis now = services.clock.Now();
   RecordHealth(services, place, reply.end, now);
+  RecordSelfReport(services, place, reply, now);
   if (reply.end == SendOutcome::kAnswered && !engine) {
     services.health.RecordAnswerTime(place.upstream, now - started);
   }
--- /dev/null
+++ b/src/routing/rate_share.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+
+#include "base/clock.h"
+
+namespace dandelion::routing {
+
+/// This daemon's place among the daemons that share the limits of one upstream.
+/// Every daemon has another rank, from 0, as long as they see the same fleet.
+struct DaemonRank {
+  size_t rank = 0;
+  size_t daemons = 1;
+};
+
+/// Returns this daemon's part of `total` requests that an upstream takes from
+/// all daemons together. The parts add up to `total`: where there are fewer
+/// requests than daemons, the daemons with the lowest ranks get one each and
+/// the others none.
+int64_t ShareOf(int64_t total, const DaemonRank& rank);
+
+/// The sends to one upstream within a sliding window.
+class SendWindow {
+ public:
+  /// Longest window that may be asked for.
+  static constexpr base::Millis kMaxWindow{60'000};
+
+  /// Counts a send.
+  void Record(base::Millis now) {
+    Count(now, kMaxWindow);
+    sends_.push_back(now);
+  }
+  /// Number of sends in the `window` that ends at `now`. Sends from before it
+  /// are dropped.
+  int64_t Count(base::Millis now, base::Millis window);
+  /// When the window will hold fewer than `limit` sends; `now` if it does, and
+  /// `window` from now if `limit` is 0.
+  base::Millis FreeAt(int64_t limit, base::Millis now, base::Millis window);
+
+ private:
+  std::deque<base::Millis> sends_;
+};
+
+}  // namespace dandelion::routing
--- a/test/decisions-test.cc
+++ b/test/decisions-test.cc
@@ -169,12 +169,19 @@
   routing::LoadTracker loads;
   routing::UpstreamHealth health{
       {[](const UpstreamId&, Millis) {}, [](const UpstreamId&) {}}};
+  routing::SelfReports self_reports{
+      {[](const UpstreamId&) {},
+       [](const UpstreamId&, std::optional<double>) {},
+       [](const UpstreamId&, Millis) {},
+       [this](const UpstreamId&) { return rank; }}};
+  routing::DaemonRank rank{0, 4};
   relay::Placer placer{base::Clock([this] { return now; }),
                        base::DataCentreId("dc-a"),
                        upstreams,
                        loads,
                        health,
-                       {[] { return size_t{4}; }}};
+                       self_reports,
+                       {[this](const UpstreamId&) { return rank; }}};
   relay::PlaceRequest request;
 };
 
--- a/test/fleet-test.cc
+++ b/test/fleet-test.cc
@@ -165,6 +165,9 @@
           admission::ApplyPartEvidence(from, evidence, clock.Now(),
                                        *self->quarantine);
         };
+    hooks.add_self_reports = [](bool, proto::FleetBeat*) {};
+    hooks.has_new_self_reports = [] { return false; };
+    hooks.on_self_reports = [](const proto::FleetBeat&) {};
     hooks.on_peer_down = [](const HostId&) {};
     hooks.is_reader = [self] { return self->reading; };
     hooks.store_slow = [] { return false; };
--- a/test/forward-support.cc
+++ b/test/forward-support.cc
@@ -111,8 +111,12 @@
     bool stop_generation,
     Millis) {
   ++copies;
-  co_return on_copy ? on_copy(generation, stop_generation)
-                    : relay::KvCacheCopyResult();
+  relay::KvCacheCopyResult result;
+  if (on_copy) {
+    result = on_copy(generation, stop_generation);
+  }
+  result.self = self_report;
+  co_return result;
 }
 
 Task<void> FakeEngineControl::FreeCopy(tcp::endpoint, std::string handle) {
@@ -126,13 +130,23 @@
 }
 
 ForwardFixture::ForwardFixture()
-    : upstreams({[](const fleet::Upstream&) {},
+    : upstreams({[this](const fleet::Upstream& upstream) {
+                   self_reports.OnListed(upstream.id,
+                                         upstream.entry.started_at);
+                 },
                  [this](const fleet::Upstream& upstream, std::string_view why) {
                    migrator->MigrateFrom(upstream.id, std::string(why));
                  },
                  [](const base::UpstreamId&) {}}),
       health({[](const base::UpstreamId&, Millis) {},
               [](const base::UpstreamId&) {}}),
+      self_reports(
+          {[this](const base::UpstreamId& id) {
+             upstreams.MarkLeaving(id, "its own answer", Now());
+           },
+           [](const base::UpstreamId&, std::optional<double>) {},
+           [](const base::UpstreamId&, Millis) {},
+           [](const base::UpstreamId&) { return routing::DaemonRank(); }}),
       retry_budget(relay::PoolRetryBudget::Bounds()),
       metrics(10),
       quarantine(
@@ -145,7 +159,9 @@
       protocol_(platform::MakePlatformProtocol()) {
   placer = std::make_unique<relay::Placer>(
       clock_, base::DataCentreId("dc-a"), upstreams, loads, health,
-      relay::Placer::Hooks{[] { return size_t{1}; }});
+      self_reports, relay::Placer::Hooks{[](const base::UpstreamId&) {
+        return routing::DaemonRank();
+      }});
   migrator = std::make_unique<migration::Migrator>(
       executor(), clock_, engines,
       migration::Migrator::Hooks{
@@ -157,10 +173,14 @@
           [this](const base::UpstreamId& id) {
             const fleet::Upstream* upstream = upstreams.Find(id);
             return upstream && upstream->leaving_since;
+          },
+          [this](const base::UpstreamId& id, const routing::SelfReport& said) {
+            self_reports.RecordAnswer(id, said, Now());
           }});
   forwarder_ = std::make_unique<relay::Forwarder>(relay::ForwardServices{
       executor(), clock_, protocol_, *placer, *migrator, engines, health,
-      retry_budget, metrics, stop, quarantine, [] { return size_t{1}; },
+      self_reports, retry_budget, metrics, stop, quarantine,
+      [] { return size_t{1}; },
       [this] {
         return relay::AdmissionState{catalogue_, catalogue_age, Millis(4000),
                                      stop.TimeLeft(clock_.Now())};
--- a/test/forward-support.h
+++ b/test/forward-support.h
@@ -77,6 +77,8 @@
       on_copy;
   /// Handles of the copies that were freed.
   std::vector<std::string> freed_handles;
+  /// What the engine says of itself in its answers to copies.
+  routing::SelfReport self_report;
   /// Number of copies that were requested.
   int copies = 0;
 
@@ -139,6 +141,7 @@
   fleet::UpstreamList upstreams;
   routing::LoadTracker loads;
   routing::UpstreamHealth health;
+  routing::SelfReports self_reports;
   std::unique_ptr<relay::Placer> placer;
   std::unique_ptr<migration::Migrator> migrator;
   relay::PoolRetryBudget retry_budget;
--- a/test/load-replay.cc
+++ b/test/load-replay.cc
@@ -55,22 +55,34 @@
   return {[](const UpstreamId&, Millis) {}, [](const UpstreamId&) {}};
 }
 
+routing::SelfReports::Hooks NoOpSelfReportHooks() {
+  return {[](const base::UpstreamId&) {},
+          [](const base::UpstreamId&, std::optional<double>) {},
+          [](const base::UpstreamId&, Millis) {},
+          [](const base::UpstreamId&) { return routing::DaemonRank(); }};
+}
+
 }  // namespace
 
 struct LoadReplay::Daemon {
   Daemon(LoadReplay& replay, size_t index)
       : name(absl::StrCat("daemon-", index)),
         health(NoOpHealthHooks()),
+        self_reports(NoOpSelfReportHooks()),
         placer(base::Clock([&replay] { return replay.now_; }),
                base::DataCentreId("dc-a"),
                replay.upstreams_,
                loads,
                health,
-               {[&replay] { return replay.setup_.daemons; }}) {}
+               self_reports,
+               {[&replay, index](const base::UpstreamId&) {
+                 return routing::DaemonRank{index, replay.setup_.daemons};
+               }}) {}
 
   base::HostId name;
   routing::LoadTracker loads;
   routing::UpstreamHealth health;
+  routing::SelfReports self_reports;
   relay::Placer placer;
 };
 
