Send nothing to an upstream that says it leaves, or wants a pause

DRAIN: an upstream that has said Server-Leaving in an answer gets nothing later than drain-ms after it. BUDGET: an upstream that turned a request away with 503 and Retry-After gets at most two requests from this host before that time is over.

Cause: only the store's entry and engines' reports told that an upstream leaves, and an entry that changed without saying so made it usable again; Retry-After was not read. What an upstream said itself holds until it restarts, in the list as well. A request that all upstreams of its pool would take only after its wait is rejected at once, with the time to come back.

--- a/src/fleet/upstream_list.cc
+++ b/src/fleet/upstream_list.cc
@@ -31,7 +31,7 @@
   upstream.cold_until = now + upstream.entry.cold_remaining;
   if (upstream.entry.leaving && !was_leaving) {
     upstream.leaving_since = now;
-  } else if (!upstream.entry.leaving) {
+  } else if (!upstream.entry.leaving && !upstream.said_leaving) {
     upstream.leaving_since.reset();
   }
   if (is_new || restarted) {
@@ -59,7 +59,11 @@
                                std::string_view reason,
                                Millis now) {
   const auto known = listed_upstreams_.find(id);
-  if (known == listed_upstreams_.end() || known->second.leaving_since) {
+  if (known == listed_upstreams_.end()) {
+    return;
+  }
+  known->second.said_leaving = true;
+  if (known->second.leaving_since) {
     return;
   }
   known->second.leaving_since = now;
--- a/src/fleet/upstream_list.h
+++ b/src/fleet/upstream_list.h
@@ -40,6 +40,9 @@
   /// When it was found to be leaving or its entry was removed; empty if neither
   /// holds.
   std::optional<base::Millis> leaving_since;
+  /// It said itself that it leaves. An entry that does not say so yet is then
+  /// out of date.
+  bool said_leaving = false;
 
   bool IsColdAt(base::Millis now) const { return now < cold_until; }
 };
@@ -78,8 +81,8 @@
   void OnStoreRecovered(base::Millis now) {
     relist_grace_until_ = now + kRelistGrace;
   }
-  /// Marks an upstream as leaving because it said so itself. Does nothing if it
-  /// is unknown or already leaving.
+  /// Marks an upstream as leaving because it said so itself, until it restarts.
+  /// Does nothing if it is unknown.
   void MarkLeaving(const base::UpstreamId& id,
                    std::string_view reason,
                    base::Millis now);
--- a/src/relay/placer.cc
+++ b/src/relay/placer.cc
@@ -155,6 +155,11 @@
   }
   const Millis now = clock_.Now();
   const Millis wait_limit = request.wait_until - now;
+  const std::optional<Millis> sendable_at = SendableAt(request);
+  if (sendable_at && *sendable_at > request.wait_until) {
+    answer.capacity_in = *sendable_at - now;
+    return answer;
+  }
   const admission::Waiter waiter = MakeWaiter(request, last_ticket_ + 1);
   answer.capacity_in = pool_queue.PredictorFor(waiter).Predict(
       pool_queue.queue.BandBacklogBefore(waiter.organisation, waiter.is_short),
--- a/test/forward-reports-test.cc
+++ b/test/forward-reports-test.cc
@@ -8,10 +8,13 @@
 namespace dandelion::test {
 namespace {
 
+using base::Millis;
 using base::Task;
+using base::UpstreamId;
 using fleet::RequestKind;
 
 constexpr int kOk = 200;
+constexpr int kUnavailable = 503;
 
 /// Answers with a header that tells something of the upstream.
 http::Handler AnswerWith(std::string name, std::string value) {
@@ -22,6 +25,17 @@
   };
 }
 
+/// Rejects requests as not run, and asks for a pause.
+http::Handler RejectAndPause(std::string seconds) {
+  return [seconds](http::Exchange& exchange) -> Task<void> {
+    http::Response response = SealedResponse(exchange.request(), "full");
+    response.status = kUnavailable;
+    response.headers.Add("X-Dandeliondyke-Not-Executed", "1");
+    response.headers.Add("Retry-After", seconds);
+    (void)co_await exchange.Respond(std::move(response));
+  };
+}
+
 Task<void> Answer(http::Exchange& exchange) {
   http::Response response = SealedResponse(exchange.request(), "answer");
   (void)co_await exchange.Respond(std::move(response));
@@ -42,6 +56,50 @@
   int requests = 0;
 };
 
+TEST_CASE("an upstream whose answer says that it leaves gets another request",
+          "[reports]") {
+  ReportFixture fixture(AnswerWith("Server-Leaving", "1"));
+  CHECK(fixture.Send().status == kOk);
+  FakeUpstream& other = fixture.AddUpstream("u-2", "read", Answer);
+  // The store's entry changes and does not tell yet that the upstream leaves.
+  fleet::UpstreamEntry entry = fixture.upstreams.Find(UpstreamId("u-1"))->entry;
+  entry.slots += 1;
+  fixture.upstreams.ApplyEntry(UpstreamId("u-1"), entry, fixture.Now());
+  constexpr size_t kRequests = 6;
+  for (size_t i = 0; i < kRequests; ++i) {
+    CHECK(fixture.Send().status == kOk);
+  }
+  CHECK(fixture.upstream.seen().size() == 1);
+  CHECK(other.seen().size() == kRequests);
+}
+
+TEST_CASE("an upstream that asked for a pause gets requests in it",
+          "[reports]") {
+  ReportFixture fixture(RejectAndPause("3.5"));
+  CHECK(fixture.Send().status == kUnavailable);
+  // Nothing can be sent before the request gives up, so it is rejected at once
+  // and told when to come back.
+  const http::Response rejected = fixture.Send();
+  CHECK(rejected.status == kUnavailable);
+  CHECK(std::stod(std::string(rejected.headers.Find("Retry-After"))) > 2.5);
+  CHECK(fixture.upstream.seen().size() == 1);
+  // Another upstream takes what this one does not.
+  FakeUpstream& other = fixture.AddUpstream("u-2", "read", Answer);
+  CHECK(fixture.Send().status == kOk);
+  CHECK(other.seen().size() == 1);
+  CHECK(fixture.upstream.seen().size() == 1);
+  fixture.AdvanceClock(Millis(3500));
+  fixture.upstreams.ApplyEntry(UpstreamId("u-2"), std::nullopt, fixture.Now());
+  CHECK(fixture.Send().status == kUnavailable);
+  CHECK(fixture.upstream.seen().size() == 2);
+}
+
+TEST_CASE("a pause is asked for with an answer that is not 503", "[reports]") {
+  ReportFixture fixture(AnswerWith("Retry-After", "10"));
+  CHECK(fixture.Send().status == kOk);
+  CHECK(fixture.Send().status == kOk);
+}
+
 TEST_CASE("an upstream gets more requests than the limit that it names",
           "[reports]") {
   ReportFixture fixture(AnswerWith("Server-Limit", "1.0"));
@@ -64,5 +122,33 @@
   }
 }
 
+TEST_CASE("an engine that says in an answer that it leaves keeps its streams",
+          "[reports]") {
+  ForwardFixture fixture;
+  fixture.AddRoute("draft", RequestKind::kGeneration);
+  fixture.Publish();
+  fixture.AddUpstream(
+      "u-1", "draft", [](http::Exchange& exchange) -> Task<void> {
+        http::Response head = SealedResponse(exchange.request(), "");
+        head.headers.Add("Server-Leaving", "1");
+        (void)co_await exchange.StartStream(std::move(head));
+        (void)co_await exchange.Write("id: 1\ndata: x\n\n");
+        exchange.HoldOpen();
+      });
+  fixture.engines.on_copy = [](const base::RequestId&, bool) {
+    return relay::KvCacheCopyResult{
+        relay::KvCacheCopyOutcome::kTargetUnavailable, "", 1};
+  };
+  fixture.AddUpstream("u-2", "draft", Answer);
+  // Makes the first engine the better choice.
+  const routing::LoadReservation busy(fixture.loads, UpstreamId("u-2"),
+                                      {1, 5000, 0, 0});
+  http::Request request = CallerRequestFor("draft", "r-1", Millis(2000));
+  request.headers.Add("X-Dandeliondyke-Token-Count", "100,50");
+  fixture.StartRequest(std::move(request),
+                       [](absl::StatusOr<http::Response>) {});
+  CHECK(fixture.RunUntil([&fixture] { return fixture.engines.copies > 0; }));
+}
+
 }  // namespace
 }  // namespace dandelion::test
