Do not take a late refusal on a kept connection for the next answer

dandeliond keeps connections for idempotent calls. A copy that came with the refusal already closed the connection; one that came before the next request was taken for its answer. Now a connection on which something has arrived, or that is closed, is dropped before it is used again. A copy that arrives together with the next answer can't be told from it: on a kept connection 'not run' is now trusted only if it names the request.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -140,6 +140,15 @@
     return response_complete_ && parser_->keep_alive() && buffer_.size() == 0;
   }
 
+  bool HasUnexpectedInput() override {
+    boost::system::error_code error;
+    stream_.socket().non_blocking(true, error);
+    char byte = 0;
+    stream_.socket().receive(asio::buffer(&byte, 1),
+                             asio::socket_base::message_peek, error);
+    return error != asio::error::would_block;
+  }
+
   void Close() override { stream_.close(); }
 
  private:
@@ -237,10 +246,12 @@
     tcp::endpoint endpoint,
     Millis timeout) {
   auto& idle = idle_connections_[EndpointText(endpoint)];
-  if (!idle.empty()) {
+  while (!idle.empty()) {
     std::unique_ptr<Connection> connection = std::move(idle.back());
     idle.pop_back();
-    co_return connection;
+    if (!connection->HasUnexpectedInput()) {
+      co_return connection;
+    }
   }
   co_return co_await Connect(endpoint, timeout);
 }
@@ -267,6 +278,7 @@
     co_return FetchResult{connection.status()};
   }
   FetchResult result;
+  result.reused_connection = (*connection)->MayHaveBeenSent();
   result.response = co_await SendAndReadResponse(**connection, request, limits);
   result.may_have_been_sent = (*connection)->MayHaveBeenSent();
   if (result.response.ok()) {
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -40,6 +40,9 @@
   /// Whether a complete response was read and the connection may carry another
   /// request.
   virtual bool IsReusable() const = 0;
+  /// Whether the peer has closed the connection, or has sent bytes that belong
+  /// to no request.
+  virtual bool HasUnexpectedInput() = 0;
   /// Fails the operation in progress and closes the connection.
   virtual void Close() = 0;
 };
@@ -73,6 +76,9 @@
 struct FetchResult {
   absl::StatusOr<Response> response;
   bool may_have_been_sent = false;
+  /// The connection had carried other requests, so that the response may be a
+  /// late one to one of them unless it names this request.
+  bool reused_connection = false;
 };
 
 /// Fetches complete responses over a pool of keep-alive connections. A
@@ -84,6 +90,7 @@
                                 Request request,
                                 FetchLimits limits);
   /// Returns an idle connection to `endpoint` if there is one, else a new one.
+  /// Idle ones that are closed or on which something has arrived are dropped.
   base::Task<absl::StatusOr<std::unique_ptr<Connection>>> AcquireConnection(
       boost::asio::ip::tcp::endpoint endpoint,
       base::Millis timeout);
--- a/src/relay/service_relay.cc
+++ b/src/relay/service_relay.cc
@@ -29,8 +29,17 @@
 // Returns whether the service states that it rejected the request without
 // running it. A status alone does not prove this, because a proxy may send it
 // after the service has run the request.
-bool IsMarkedNotRun(const http::Response& response) {
-  return response.headers.Find("X-Ran") == "no";
+// Whether the service states that it did not run the request `id`. On a
+// connection that has carried other requests, an answer that names none may be
+// a late one to an earlier request.
+bool IsMarkedNotRun(const http::Response& response,
+                    const base::RequestId& id,
+                    bool reused_connection) {
+  if (response.headers.Find("X-Ran") != "no") {
+    return false;
+  }
+  return !reused_connection ||
+         response.headers.Find("X-Request-Id") == id.value();
 }
 
 // Returns a hash by which a reuse of the key for another request is detected.
@@ -242,7 +251,8 @@
     (*placement)->SetOutcome(SlotHolder::RequestOutcome::kFailure);
     co_return result;
   }
-  if (IsMarkedNotRun(*result.response)) {
+  if (IsMarkedNotRun(*result.response, call.work.id,
+                     fetched.reused_connection)) {
     result.ran = Ran::kNo;
     (*placement)->SetOutcome(SlotHolder::RequestOutcome::kNeutral);
     co_return result;
--- a/test/upstream-bytes-test.cc
+++ b/test/upstream-bytes-test.cc
@@ -538,5 +538,106 @@
   CHECK(*end == boost::asio::error::connection_reset);
 }
 
+/// A server that answers requests on kept connections with fixed bytes: the
+/// first on each connection with `first`, further ones with `next`.
+class KeptServer {
+ public:
+  KeptServer(ForwardFixture& fixture, std::string first, std::string next)
+      : acceptor_(fixture.executor(),
+                  {boost::asio::ip::address_v4::loopback(), 0}),
+        first_(std::move(first)),
+        next_(std::move(next)) {
+    base::Spawn(fixture.executor(), AcceptAll());
+  }
+  ~KeptServer() { acceptor_.close(); }
+
+  boost::asio::ip::tcp::endpoint address() const {
+    return acceptor_.local_endpoint();
+  }
+  int connections() const { return connections_; }
+  /// Sends bytes on the last connection that no request has asked for.
+  void SendUnasked(const std::string& bytes) {
+    boost::asio::write(*last_, boost::asio::buffer(bytes));
+  }
+
+ private:
+  Task<void> AcceptAll() {
+    for (;;) {
+      auto [error, socket] = co_await acceptor_.async_accept(base::kNoThrow);
+      if (error) {
+        co_return;
+      }
+      ++connections_;
+      last_ = std::make_shared<boost::asio::ip::tcp::socket>(std::move(socket));
+      base::Spawn(acceptor_.get_executor(), Serve(last_, first_, next_));
+    }
+  }
+
+  static Task<void> Serve(std::shared_ptr<boost::asio::ip::tcp::socket> socket,
+                          std::string first,
+                          std::string next) {
+    std::string request(1000, '\0');
+    for (const std::string* bytes = &first;; bytes = &next) {
+      const auto [error, size] = co_await socket->async_read_some(
+          boost::asio::buffer(request), base::kNoThrow);
+      if (error) {
+        co_return;
+      }
+      co_await boost::asio::async_write(*socket, boost::asio::buffer(*bytes),
+                                        base::kNoThrow);
+    }
+  }
+
+  boost::asio::ip::tcp::acceptor acceptor_;
+  std::string first_;
+  std::string next_;
+  int connections_ = 0;
+  std::shared_ptr<boost::asio::ip::tcp::socket> last_;
+};
+
+const std::string kRefusal =
+    "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nX-Ran: no\r\n\r\n";
+const std::string kPlainAnswer =
+    "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nanswer";
+
+http::FetchResult Fetch(ForwardFixture& fixture,
+                        http::Client& client,
+                        const KeptServer& server) {
+  http::Request request;
+  request.method = "GET";
+  request.target = "/";
+  auto result = RunTask(
+      fixture, client.Fetch(server.address(), request, http::FetchLimits()));
+  REQUIRE(result);
+  return *std::move(result);
+}
+
+TEST_CASE("a refusal that is written twice is taken for the next answer",
+          "[bytes]") {
+  ForwardFixture fixture;
+  http::Client client;
+  SECTION("the copy comes with the refusal") {
+    KeptServer server(fixture, kRefusal + kRefusal, kPlainAnswer);
+    CHECK_FALSE(Fetch(fixture, client, server).reused_connection);
+    CHECK_FALSE(Fetch(fixture, client, server).reused_connection);
+    CHECK(server.connections() == 2);
+  }
+  SECTION("the copy comes before the next request") {
+    KeptServer server(fixture, kRefusal, kPlainAnswer);
+    CHECK_FALSE(Fetch(fixture, client, server).reused_connection);
+    server.SendUnasked(kRefusal);
+    CHECK_FALSE(Fetch(fixture, client, server).reused_connection);
+    CHECK(server.connections() == 2);
+  }
+  SECTION("the copy comes with the next answer") {
+    // It can't be told from that answer. Whoever trusts a refusal must see that
+    // it may be a late one.
+    KeptServer server(fixture, kRefusal, kRefusal + kPlainAnswer);
+    CHECK_FALSE(Fetch(fixture, client, server).reused_connection);
+    CHECK(Fetch(fixture, client, server).reused_connection);
+    CHECK(server.connections() == 1);
+  }
+}
+
 }  // namespace
 }  // namespace dandelion::test
