Test that an engine's error does not get into a stream that broke off

Other operators reported the next server's error, or its head, in the middle of a caller's stream, or a stream that ended as if complete. Tried here with an error with and without a seal, an unsealed 200, a refusal and bytes that are no answer: the caller gets the events that came and no last chunk.

--- a/test/upstream-bytes-test.cc
+++ b/test/upstream-bytes-test.cc
@@ -639,5 +639,61 @@
   }
 }
 
+/// Sends a request for a stream and returns all bytes that its caller receives
+/// until the connection ends.
+Task<std::string> ReceiveRaw(boost::asio::ip::tcp::endpoint daemon) {
+  boost::asio::ip::tcp::socket socket(
+      co_await boost::asio::this_coro::executor);
+  co_await socket.async_connect(daemon, base::kNoThrow);
+  const std::string request =
+      "POST /draft/1 HTTP/1.1\r\nHost: front.example\r\n"
+      "X-Dandeliondyke-Request-Id: r-1\r\n"
+      "X-Dandeliondyke-Deadline-Ms: 5000\r\nConnection: close\r\n"
+      "Content-Length: 0\r\n\r\n";
+  co_await boost::asio::async_write(socket, boost::asio::buffer(request),
+                                    base::kNoThrow);
+  std::string received;
+  co_await boost::asio::async_read(
+      socket, boost::asio::dynamic_buffer(received), base::kNoThrow);
+  co_return received;
+}
+
+TEST_CASE("the error of the next engine gets into a stream that broke off",
+          "[bytes]") {
+  ForwardFixture fixture;
+  PublishRetryableRoute(fixture, RequestKind::kGeneration);
+  fixture.AddRawUpstream(
+      "u-1", "draft",
+      RawHead("r-1", kChunked) + "f\r\n" + EventText(1) + "\r\n");
+  // An error with the engine's seal, one without, a refusal, and bytes that are
+  // no answer.
+  const std::string error = GENERATE(
+      std::string("HTTP/1.1 500 Error\r\nX-Dandeliondyke-Request-Id: r-1\r\n"
+                  "X-Dandeliondyke-Response-Seal: seal\r\n"
+                  "Content-Length: 13\r\n\r\nengine failed"),
+      std::string("HTTP/1.1 502 Error\r\nContent-Length: 13\r\n\r\n"
+                  "engine failed"),
+      std::string("HTTP/1.1 200 OK\r\nX-Dandeliondyke-Request-Id: r-1\r\n"
+                  "Content-Length: 15\r\n\r\nengine failed\n\n"),
+      std::string("HTTP/1.1 503 Busy\r\nX-Dandeliondyke-Request-Id: r-1\r\n"
+                  "X-Dandeliondyke-Not-Executed: 1\r\n"
+                  "Content-Length: 13\r\n\r\nengine failed"),
+      std::string("engine failed\r\n\r\n"));
+  fixture.AddRawUpstream("u-2", "draft", error);
+  // Makes the first engine the first choice.
+  const routing::LoadReservation busy(fixture.loads, base::UpstreamId("u-2"),
+                                      {1, 5000, 0, 0});
+  const std::optional<std::string> answer = RunTask(
+      fixture,
+      ReceiveRaw({boost::asio::ip::address_v4::loopback(), fixture.port()}));
+  REQUIRE(answer);
+  const std::string& received = *answer;
+  CHECK(received.find("engine failed") == std::string::npos);
+  CHECK(received.find("HTTP/1.1", 1) == std::string::npos);
+  CHECK(received.find(EventText(1)) != std::string::npos);
+  // The stream must not look complete: its last chunk is missing.
+  CHECK_FALSE(received.ends_with("0\r\n\r\n"));
+}
+
 }  // namespace
 }  // namespace dandelion::test
