Let dandeliond keep the pauses that services and engines ask for

The dispatcher now keeps it in SelfReports, chooses no paused upstream, rejects at once what could be sent only after its deadline, and tells the caller that time.

failure-test: with five calls to a service that asks for a pause of 60 s the service gets one; PullSchedule and AnswerBudget have tests of their own. Stand-in: the option pause_s, and a record of rejections.

--- a/src/http/message.cc
+++ b/src/http/message.cc
@@ -2,11 +2,13 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <set>
 #include <utility>
 
 #include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_split.h"
 
 namespace dandelion::http {
@@ -109,6 +111,21 @@
   return {};
 }
 
+std::optional<base::Millis> FindRetryAfter(const Headers& headers) {
+  constexpr double kMsPerSecond = 1000;
+  // Longer times are no different from this one.
+  constexpr double kMaxSeconds = 86'400;
+  const std::string_view text = headers.Find("Retry-After");
+  double seconds = 0;
+  if (!absl::SimpleAtod(absl::string_view(text.data(), text.size()),
+                        &seconds) ||
+      !std::isfinite(seconds) || seconds < 0) {
+    return std::nullopt;
+  }
+  return base::Millis(static_cast<int64_t>(
+      std::ceil(std::min(seconds, kMaxSeconds) * kMsPerSecond)));
+}
+
 Response JsonResponse(int status, std::string body) {
   Response response;
   response.status = status;
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "base/clock.h"
+
 namespace dandelion::http {
 
 /// One header line.
@@ -56,6 +59,10 @@
 /// those that `Connection` lists. Keeps `Host`.
 Headers WithoutHopByHopHeaders(const Headers& headers);
 
+/// Returns the time in a response's `Retry-After`, in seconds, which may have a
+/// fraction. Empty if there is none or it can't be read; a date can't.
+std::optional<base::Millis> FindRetryAfter(const Headers& headers);
+
 /// Returns a response with a JSON body.
 Response JsonResponse(int status, std::string body);
 
--- a/src/kernel/daemon.cc
+++ b/src/kernel/daemon.cc
@@ -20,6 +20,7 @@
 #include "kernel/registry.h"
 #include "kernel/serving_telemetry.h"
 #include "membership/membership.h"
+#include "membership/pull_schedule.h"
 #include "membership/transport.h"
 #include "platform_client/platform_client.h"
 #include "relay/generation_relay.h"
@@ -288,6 +289,7 @@
         break;
       case proto::Envelope::kConfigRows:
         config_.OnConfigRows(message.config_rows());
+        config_pulls_.OnAnswer(from, true, clock_.Now());
         break;
       case proto::Envelope::kClaimQuestion:
         claims_.OnClaimQuestion(from, message.claim_question());
@@ -361,7 +363,9 @@
     };
     hooks.config_version = [this] { return config_.version(); };
     hooks.on_newer_config = [this](const HostId& host) {
-      config_.RequestRows(host);
+      if (config_pulls_.TryStart(host, clock_.Now())) {
+        config_.RequestRows(host);
+      }
     };
     return hooks;
   }
@@ -605,6 +609,8 @@
   std::unique_ptr<platform_client::Log> log_;
   std::unique_ptr<platform_client::HostList> host_list_;
   std::unique_ptr<membership::ZmqTransport> transport_;
+  /// Peers with a newer configuration are asked for it one at a time.
+  membership::PullSchedule config_pulls_;
   config::ConfigService config_;
   membership::Membership membership_;
   upstream::EngineClient engines_;
--- a/src/relay/generation_relay.cc
+++ b/src/relay/generation_relay.cc
@@ -196,6 +196,9 @@
   request.priority = work.route.request_class == "short" ? 0 : 1;
   upstream::OpenResult opened =
       co_await engines_.Start(progress.engine, std::move(request));
+  if (opened.pause) {
+    dispatcher_.RecordPause(upstream.id, *opened.pause);
+  }
   if (opened.stream.ok()) {
     progress.stream = *std::move(opened.stream);
     progress.point.incarnation = progress.stream->incarnation();
--- a/src/relay/service_relay.cc
+++ b/src/relay/service_relay.cc
@@ -29,6 +29,8 @@
 // Returns whether the service states that it rejected the request without
 // running it. A status alone does not prove this, because a proxy may send it
 // after the service has run the request.
+constexpr int kUnavailable = 503;
+
 // Whether the service states that it did not run the request `id`. On a
 // connection that has carried other requests, an answer that names none may be
 // a late one to an earlier request.
@@ -251,6 +253,11 @@
     (*placement)->SetOutcome(SlotHolder::RequestOutcome::kFailure);
     co_return result;
   }
+  const std::optional<Millis> pause =
+      http::FindRetryAfter(result.response->headers);
+  if (pause && result.response->status == kUnavailable) {
+    dispatcher_.RecordPause(*used, *pause);
+  }
   if (IsMarkedNotRun(*result.response, call.work.id,
                      fetched.reused_connection)) {
     result.ran = Ran::kNo;
--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -4,11 +4,13 @@
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
 #include <utility>
 
 #include "absl/cleanup/cleanup.h"
 #include "absl/strings/str_cat.h"
 #include "base/error.h"
+#include "telemetry/events.h"
 
 namespace dandelion::routing {
 namespace {
@@ -63,6 +65,25 @@
   }
 }
 
+namespace {
+
+// Daemons of this kind learn from reports and tables which upstreams leave, and
+// share slots by leases; they keep only pauses.
+SelfReports::Hooks PauseHooks() {
+  SelfReports::Hooks hooks;
+  hooks.on_leaving = [](const UpstreamId&) {};
+  hooks.on_limit = [](const UpstreamId&, std::optional<double>) {};
+  hooks.on_pause = [](const UpstreamId& id, Millis pause) {
+    telemetry::Emit(
+        telemetry::Event::kUpstreamPaused,
+        {{"upstream", id.value()}, {"pause_ms", absl::StrCat(pause.count())}});
+  };
+  hooks.rank = [](const UpstreamId&) { return DaemonRank(); };
+  return hooks;
+}
+
+}  // namespace
+
 Dispatcher::Dispatcher(base::Executor executor,
                        base::Clock clock,
                        SlotHolder& slots,
@@ -76,7 +97,8 @@
       membership_(membership),
       stop_deadline_(stop_deadline),
       queue_per_organisation_(queue_per_organisation),
-      hooks_(std::move(hooks)) {}
+      hooks_(std::move(hooks)),
+      self_reports_(PauseHooks()) {}
 
 absl::Status Dispatcher::CheckStop(const PlacementRequest& request) const {
   const Millis now = clock_.Now();
@@ -167,8 +189,11 @@
 std::unique_ptr<SlotPlacement> Dispatcher::TryPlace(
     const PlacementRequest& request) {
   std::vector<SlotCandidate> candidates;
+  const Millis now = clock_.Now();
   for (const Upstream* upstream : UsableUpstreams(request)) {
-    candidates.push_back(MakeCandidate(request, *upstream));
+    if (self_reports_.MaySend(upstream->id, now)) {
+      candidates.push_back(MakeCandidate(request, *upstream));
+    }
   }
   const Choice choice =
       ChooseUpstream(MakeChoiceRequest(request), candidates, true);
@@ -222,6 +247,11 @@
   if (!stop_check.ok()) {
     co_return stop_check;
   }
+  if (SendableAt(request) > request.deadline) {
+    co_return base::MakeError(ErrorKind::kOverloaded,
+                              "no upstream takes requests before the deadline",
+                              "retry later, or allow more time");
+  }
   PoolQueue& queue = FindOrAddQueue(request.route.pool);
   if (queue.waiters.size() == 0) {
     if (std::unique_ptr<SlotPlacement> placement = TryPlace(request)) {
@@ -280,6 +310,22 @@
   co_return std::move(pending.placement);
 }
 
+void Dispatcher::RecordPause(const UpstreamId& upstream, Millis pause) {
+  SelfReport report;
+  report.pause = pause;
+  self_reports_.RecordAnswer(upstream, report, clock_.Now());
+}
+
+Millis Dispatcher::SendableAt(const PlacementRequest& request) {
+  const Millis now = clock_.Now();
+  std::optional<Millis> soonest;
+  for (const Upstream* upstream : UsableUpstreams(request)) {
+    const Millis at = self_reports_.SendableAt(upstream->id, now).value_or(now);
+    soonest = std::min(soonest.value_or(at), at);
+  }
+  return soonest.value_or(now);
+}
+
 void Dispatcher::DispatchWaiting() {
   if (!tables_ || dispatching_) {
     return;
@@ -401,10 +447,12 @@
          tokens_per_ms;
 }
 
-int64_t Dispatcher::RetryAfterSeconds(const PlacementRequest& request) const {
+int64_t Dispatcher::RetryAfterSeconds(const PlacementRequest& request) {
   constexpr double kMsPerSecond = 1000;
   constexpr double kMaxSeconds = 600;
-  const double wait = PredictWaitMs(request) / kMsPerSecond;
+  const double pause =
+      tables_ ? (SendableAt(request) - clock_.Now()).seconds() : 0;
+  const double wait = std::max(pause, PredictWaitMs(request) / kMsPerSecond);
   return static_cast<int64_t>(std::clamp(std::ceil(wait), 1.0, kMaxSeconds));
 }
 
--- a/src/routing/dispatcher.h
+++ b/src/routing/dispatcher.h
@@ -17,6 +17,7 @@
 #include "config/tables.h"
 #include "membership/membership.h"
 #include "routing/explain.h"
+#include "routing/self_reports.h"
 #include "routing/slot_choice.h"
 #include "routing/upstream_model.h"
 
@@ -100,8 +101,8 @@
   /// - `kNotReady` before the first call of `OnTables`,
   /// - `kNoUpstream` if the pool has no upstream in service that is neither
   ///   leaving nor excluded,
-  /// - `kOverloaded` if the organisation's queue is full or the predicted wait
-  ///   ends after the deadline,
+  /// - `kOverloaded` if the organisation's queue is full, or the predicted wait
+  ///   or the pause that every upstream asked for ends after the deadline,
   /// - `kTimeout` if the deadline passes while the request waits,
   /// - `kDraining` as `CheckStop` does, also while the request waits.
   base::Task<absl::StatusOr<std::unique_ptr<SlotPlacement>>> Place(
@@ -114,6 +115,9 @@
   void OnTables(std::shared_ptr<const config::Tables> tables);
   /// Places waiting requests; to be called whenever slots may have become free.
   void DispatchWaiting();
+  /// Records that an upstream has rejected a request and wants no other from
+  /// this daemon for `pause`.
+  void RecordPause(const base::UpstreamId& upstream, base::Millis pause);
   /// Records the output length of a finished generation, in tokens, and
   /// corrects what its organisation was charged by the expected length.
   void ObserveLength(const PlacementRequest& request, int64_t tokens);
@@ -133,7 +137,7 @@
   size_t queued() const;
   /// Predicted time in seconds, 1 to 600, after which an upstream may take a
   /// request that was rejected.
-  int64_t RetryAfterSeconds(const PlacementRequest& request) const;
+  int64_t RetryAfterSeconds(const PlacementRequest& request);
 
   Explanations& explanations() { return explanations_; }
   const admission::LengthModel& lengths() const { return lengths_; }
@@ -160,6 +164,9 @@
   };
 
   PoolQueue& FindOrAddQueue(const base::PoolName& pool);
+  /// When the first of the usable upstreams takes requests again, by what they
+  /// say of themselves.
+  base::Millis SendableAt(const PlacementRequest& request);
   /// Upstreams of the pool that are in service, not leaving and not excluded.
   std::vector<const config::Upstream*> UsableUpstreams(
       const PlacementRequest& request) const;
@@ -185,6 +192,7 @@
   const admission::StopDeadline& stop_deadline_;
   size_t queue_per_organisation_;
   Hooks hooks_;
+  SelfReports self_reports_;
   std::shared_ptr<const config::Tables> tables_;
   std::map<base::PoolName, std::unique_ptr<PoolQueue>> queues_;
   std::map<base::UpstreamId, UpstreamModel> models_;
--- a/src/upstream/engine_client.cc
+++ b/src/upstream/engine_client.cc
@@ -214,9 +214,13 @@
   }
   constexpr int kNotFound = 404;
   constexpr int kOk = 200;
+  constexpr int kUnavailable = 503;
   if (head->status != kOk) {
     result.unknown_generation = head->status == kNotFound;
     result.rejected = !result.unknown_generation;
+    if (head->status == kUnavailable) {
+      result.pause = http::FindRetryAfter(head->headers);
+    }
     result.stream = base::MakeError(
         ErrorKind::kOverloaded,
         absl::StrCat("the engine answered with status ", head->status),
--- a/src/upstream/engine_client.h
+++ b/src/upstream/engine_client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -64,6 +65,8 @@
   bool unknown_generation = false;
   /// Whether the engine rejected the request with any other error status.
   bool rejected = false;
+  /// The engine wants no other request from this daemon for so long.
+  std::optional<base::Millis> pause = {};
 };
 
 /// A client of the engines' HTTP API. `client` must outlive it, and `streams`
--- a/standin/service.cc
+++ b/standin/service.cc
@@ -47,6 +47,10 @@
     if (reject_requests_) {
       http::Response response = http::JsonResponse(503, "{}");
       response.headers.Add("X-Ran", "no");
+      if (pause_s_ > 0) {
+        response.headers.Add("Retry-After", std::to_string(pause_s_));
+      }
+      event_log_.Add({{"what", "refused"}});
       co_await exchange.Respond(std::move(response));
       co_return;
     }
@@ -78,6 +82,7 @@
   Task<void> HandleFault(http::Exchange& exchange) {
     const Json body = ParseJsonBody(exchange.request());
     reject_requests_ = body.value("refuse", reject_requests_);
+    pause_s_ = body.value("pause_s", pause_s_);
     leaving_ = body.value("leaving", leaving_);
     drops_before_execution_ =
         body.value("drop_before", drops_before_execution_);
@@ -93,6 +98,8 @@
   std::map<std::string, int64_t> number_by_key_;
   int64_t last_number_ = 0;
   bool reject_requests_ = false;
+  /// Seconds in the `Retry-After` of rejections; 0 for none.
+  int64_t pause_s_ = 0;
   bool leaving_ = false;
   /// Number of requests whose connection will be closed before or after they
   /// are executed.
--- a/test/failure-test.cc
+++ b/test/failure-test.cc
@@ -512,6 +512,25 @@
   CHECK(outcomes["answer-lost"] == std::set<std::string>{"unknown"});
 }
 
+TEST_CASE("a service that asked for a pause gets requests in it", "[once]") {
+  Fleet fleet;
+  fleet.PublishTablesAndWait();
+  fleet.InjectFault("archive-1", {{"refuse", true}, {"pause_s", 60}});
+  constexpr int kCalls = 5;
+  for (int i = 0; i < kCalls; ++i) {
+    Call call = MakeRegistration("");
+    call.body = Json({{"key", absl::StrCat("paused-", i)}}).dump();
+    const Answer answer = fleet.SendAndWait("host-1", call);
+    CHECK(answer.status == 429);
+    CHECK(answer.ran == "no");
+  }
+  int refused = 0;
+  for (const Json& entry : fleet.GetJson("archive-1", "/record")) {
+    refused += entry.value("what", "") == "refused" ? 1 : 0;
+  }
+  CHECK(refused == 1);
+}
+
 TEST_CASE("a rolling restart of all daemons breaks no request", "[stop]") {
   Fleet fleet;
   fleet.PublishTablesAndWait();
--- a/test/transport-test.cc
+++ b/test/transport-test.cc
@@ -4,12 +4,14 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include "absl/strings/str_cat.h"
+#include "membership/pull_schedule.h"
 #include "membership/transport.h"
 
 namespace dandelion::test {
 namespace {
 
 using base::HostId;
+using base::Millis;
 using boost::asio::ip::tcp;
 using membership::ZmqTransport;
 
@@ -51,5 +53,45 @@
   CHECK(most_in_one_turn <= ZmqTransport::kMaxBatch);
 }
 
+TEST_CASE("a daemon that is behind asks all peers at once", "[transport]") {
+  membership::PullSchedule pulls;
+  const HostId first("a");
+  const HostId second("b");
+  CHECK(pulls.TryStart(first, Millis(0)));
+  CHECK_FALSE(pulls.TryStart(first, Millis(100)));
+  CHECK_FALSE(pulls.TryStart(second, Millis(100)));
+  pulls.OnAnswer(second, true, Millis(100));
+  CHECK_FALSE(pulls.TryStart(second, Millis(100)));
+  // A peer that is busy says so, and another one is asked at once.
+  pulls.OnAnswer(first, false, Millis(100));
+  CHECK_FALSE(pulls.TryStart(first, Millis(100)));
+  CHECK(pulls.TryStart(second, Millis(100)));
+  // One that does not answer is waited for, the longer the more often.
+  CHECK_FALSE(pulls.TryStart(first, Millis(599)));
+  CHECK(pulls.TryStart(first, Millis(600)));
+  CHECK_FALSE(pulls.TryStart(second, Millis(1599)));
+  CHECK(pulls.TryStart(second, Millis(1600)));
+  pulls.OnAnswer(second, true, Millis(1700));
+  CHECK(pulls.TryStart(first, Millis(1700)));
+  CHECK(pulls.TryStart(second, Millis(2200)));
+}
+
+TEST_CASE("answers to pulls fill a small host's link", "[transport]") {
+  membership::AnswerBudget budget;
+  constexpr size_t kAnswer = 100'000;
+  size_t sent = 0;
+  Millis now(0);
+  for (; now < Millis(10'000); now = now + Millis(10)) {
+    if (budget.MaySend(now)) {
+      budget.Spend(kAnswer, now);
+      sent += kAnswer;
+    }
+  }
+  // Half of 10 Mbit/s, and the answer that was begun last.
+  constexpr size_t kHalfLinkBytes = 10'000'000 / 8 / 2 * 10;
+  CHECK(sent <= kHalfLinkBytes + kAnswer);
+  CHECK(sent >= kHalfLinkBytes / 2);
+}
+
 }  // namespace
 }  // namespace dandelion::test
