Use what a limit tolerates in place of holding requests back

Parts that are whole numbers and add up to the limit leave no room for a burst at one daemon while another's part goes unused.

Now all daemons together may send 1.25 times the limit and a burst of up to three in any 4 s, and the same in any 16 s, so that bursts pass and the rate stays near the limit. Both stay inside the rule's tolerance, 1.5 times the limit and five, with room for daemons that see different fleets for a moment.

--- a/src/routing/self_reports.cc
+++ b/src/routing/self_reports.cc
@@ -9,6 +9,28 @@
 using base::Millis;
 using base::UpstreamId;
 
+namespace {
+
+// Requests that all daemons together send in `window` to an upstream with a
+// limit. Some more than the limit, since requests come in bursts and each
+// daemon's part is a whole number, but within the tolerance of the rule: one
+// and a half times the limit, and five.
+int64_t RequestsAllowed(double requests_per_second, Millis window) {
+  constexpr double kRateTolerance = 1.25;
+  constexpr double kMaxBurst = 3;
+  if (requests_per_second <= 0) {
+    return 0;
+  }
+  // A slow upstream gets a smaller burst.
+  const double burst =
+      std::clamp(requests_per_second * SelfReports::kLimitWindow.seconds(), 1.0,
+                 kMaxBurst);
+  return static_cast<int64_t>(
+      requests_per_second * kRateTolerance * window.seconds() + burst);
+}
+
+}  // namespace
+
 void SelfReports::RecordAnswer(const UpstreamId& id,
                                const SelfReport& report,
                                Millis now) {
@@ -119,17 +141,21 @@
       now - *state.limit_said_at > kLimitLifetime) {
     return now;
   }
-  constexpr double kMsPerSecond = 1000;
-  // Long enough for one request; a limit of almost none is no division by zero.
-  constexpr double kSlowest = 1.0 / 60;
-  const double per_second = std::max(*state.requests_per_second, kSlowest);
-  const Millis window = std::max(
-      kLimitWindow,
-      Millis(static_cast<int64_t>(std::ceil(kMsPerSecond / per_second))));
-  const auto total =
-      static_cast<int64_t>(std::floor(per_second * window.seconds()));
-  const int64_t share = ShareOf(std::max<int64_t>(1, total), hooks_.rank(id));
-  return state.sends.FreeAt(share, now, window);
+  const DaemonRank rank = hooks_.rank(id);
+  const int64_t in_window =
+      RequestsAllowed(*state.requests_per_second, kLimitWindow);
+  const Millis free_in_window =
+      state.sends.FreeAt(ShareOf(in_window, rank), now, kLimitWindow);
+  // Where there are fewer requests than daemons, those that have a part of the
+  // short window share the long one.
+  const DaemonRank long_rank = {
+      rank.rank, std::min(rank.daemons, static_cast<size_t>(
+                                            std::max<int64_t>(1, in_window)))};
+  const int64_t in_long_window =
+      RequestsAllowed(*state.requests_per_second, kLongLimitWindow);
+  return std::max(free_in_window,
+                  state.sends.FreeAt(ShareOf(in_long_window, long_rank), now,
+                                     kLongLimitWindow));
 }
 
 void SelfReports::OnListed(const UpstreamId& id, int64_t started_at) {
--- a/src/routing/self_reports.h
+++ b/src/routing/self_reports.h
@@ -46,9 +46,10 @@
 /// was told of it.
 class SelfReports {
  public:
-  /// Time over which sends to a limited upstream are counted. It is longer if
-  /// the limit is less than one request in it.
+  /// Times over which sends to a limited upstream are counted. The short one
+  /// allows for bursts, the long one keeps the rate near the limit.
   static constexpr base::Millis kLimitWindow{4000};
+  static constexpr base::Millis kLongLimitWindow{16'000};
   /// A limit ends with an answer that does not name it. Answers overtake each
   /// other, so one that follows so soon after the last that did is ignored.
   static constexpr base::Millis kLimitHold{1000};
