--- a/src/routing/rate_share.cc
+++ b/src/routing/rate_share.cc
@@ -1,5 +1,7 @@
 #include "routing/rate_share.h"
 
+#include <algorithm>
+
 namespace dandelion::routing {
 
 using base::Millis;
@@ -13,20 +15,28 @@
   return total / daemons + (gets_remainder ? 1 : 0);
 }
 
-int64_t SendWindow::Count(Millis now, Millis window) {
-  while (!sends_.empty() && now - sends_.front() >= window) {
+void SendWindow::Record(Millis now) {
+  while (!sends_.empty() && now - sends_.front() >= kMaxWindow) {
     sends_.pop_front();
   }
-  return static_cast<int64_t>(sends_.size());
+  sends_.push_back(now);
+}
+
+int64_t SendWindow::Count(Millis now, Millis window) const {
+  const auto first =
+      std::upper_bound(sends_.begin(), sends_.end(), now - window);
+  return sends_.end() - first;
 }
 
-Millis SendWindow::FreeAt(int64_t limit, Millis now, Millis window) {
+Millis SendWindow::FreeAt(int64_t limit, Millis now, Millis window) const {
   const int64_t sends = Count(now, window);
   if (sends < limit) {
     return now;
   }
-  return limit == 0 ? now + window
-                    : sends_[static_cast<size_t>(sends - limit)] + window;
+  if (limit == 0) {
+    return now + window;
+  }
+  return sends_[sends_.size() - static_cast<size_t>(limit)] + window;
 }
 
 }  // namespace dandelion::routing
--- a/src/routing/rate_share.h
+++ b/src/routing/rate_share.h
@@ -24,20 +24,18 @@
 /// The sends to one upstream within a sliding window.
 class SendWindow {
  public:
-  /// Longest window that may be asked for.
+  /// Longest window that may be asked for; older sends are dropped.
   static constexpr base::Millis kMaxWindow{60'000};
 
   /// Counts a send.
-  void Record(base::Millis now) {
-    Count(now, kMaxWindow);
-    sends_.push_back(now);
-  }
-  /// Number of sends in the `window` that ends at `now`. Sends from before it
-  /// are dropped.
-  int64_t Count(base::Millis now, base::Millis window);
+  void Record(base::Millis now);
+  /// Number of sends in the `window` that ends at `now`.
+  int64_t Count(base::Millis now, base::Millis window) const;
   /// When the window will hold fewer than `limit` sends; `now` if it does, and
   /// `window` from now if `limit` is 0.
-  base::Millis FreeAt(int64_t limit, base::Millis now, base::Millis window);
+  base::Millis FreeAt(int64_t limit,
+                      base::Millis now,
+                      base::Millis window) const;
 
  private:
   std::deque<base::Millis> sends_;
