Send nothing to an upstream whose address another one has

Cause: that another upstream answers at an address was used for one retry and then forgotten; the next request was sent there again, at each daemon, and each such send costs a retry of the budget. Now the upstream counts as ended until its entry shows another start, for choice and migration alike, and daemons tell each other.

--- a/src/kernel/fleet_daemon.cc
+++ b/src/kernel/fleet_daemon.cc
@@ -557,8 +557,8 @@
 
   routing::SelfReports::Hooks SelfReportHooks() {
     routing::SelfReports::Hooks hooks;
-    hooks.on_leaving = [this](const UpstreamId& id) {
-      upstreams_.MarkLeaving(id, "its own answer", clock_.Now());
+    hooks.on_leaving = [this](const UpstreamId& id, std::string_view reason) {
+      upstreams_.MarkLeaving(id, reason, clock_.Now());
     };
     hooks.on_limit = [this](const UpstreamId& id,
                             std::optional<double> per_second) {
--- a/src/kernel/serving_telemetry.cc
+++ b/src/kernel/serving_telemetry.cc
@@ -40,7 +40,7 @@
 }
 
 http::ServerHooks MakeCallerServerHooks(telemetry::Metrics& metrics,
-                                        base::Clock clock,
+                                        const base::Clock& clock,
                                         std::function<size_t()> connections) {
   http::ServerHooks hooks;
   hooks.on_accepted = [&metrics] {
--- a/src/kernel/serving_telemetry.h
+++ b/src/kernel/serving_telemetry.h
@@ -13,7 +13,7 @@
 /// Makes hooks that log and count what becomes of callers' connections.
 /// `metrics` must outlive them; `connections` returns the open connections.
 http::ServerHooks MakeCallerServerHooks(telemetry::Metrics& metrics,
-                                        base::Clock clock,
+                                        const base::Clock& clock,
                                         std::function<size_t()> connections);
 
 /// Returns how many connections of callers fit into `max_descriptors`, or into
--- a/src/relay/send_once.cc
+++ b/src/relay/send_once.cc
@@ -47,7 +47,8 @@
   }
 }
 
-// Records what the upstream said of itself, if the answer is its own.
+// Records what the upstream said of itself, if the answer is its own, or that
+// another upstream has its address.
 void RecordSelfReport(const ForwardServices& services,
                       const migration::Place& place,
                       const UpstreamReply& reply,
@@ -55,6 +56,8 @@
   if (reply.end == SendOutcome::kAnswered ||
       reply.end == SendOutcome::kNotRun) {
     services.self_reports.RecordAnswer(place.upstream, reply.answer.self, now);
+  } else if (reply.end == SendOutcome::kOtherUpstream) {
+    services.self_reports.RecordEnded(place.upstream);
   }
 }
 
--- a/src/routing/dispatcher.cc
+++ b/src/routing/dispatcher.cc
@@ -71,7 +71,7 @@
 // share slots by leases; they keep only pauses.
 SelfReports::Hooks PauseHooks() {
   SelfReports::Hooks hooks;
-  hooks.on_leaving = [](const UpstreamId&) {};
+  hooks.on_leaving = [](const UpstreamId&, std::string_view) {};
   hooks.on_limit = [](const UpstreamId&, std::optional<double>) {};
   hooks.on_pause = [](const UpstreamId& id, Millis pause) {
     telemetry::Emit(
--- a/src/routing/self_reports.cc
+++ b/src/routing/self_reports.cc
@@ -39,7 +39,7 @@
   }
   State& state = states_[id];
   if (report.leaving) {
-    SetLeaving(id, state);
+    SetLeaving(id, state, "its own answer");
   }
   if (report.pause) {
     const Millis pause = std::min(*report.pause, kMaxPause);
@@ -55,13 +55,19 @@
   }
 }
 
-void SelfReports::SetLeaving(const UpstreamId& id, State& state) {
+void SelfReports::RecordEnded(const UpstreamId& id) {
+  SetLeaving(id, states_[id], "another upstream has its address");
+}
+
+void SelfReports::SetLeaving(const UpstreamId& id,
+                             State& state,
+                             std::string_view reason) {
   if (state.leaving) {
     return;
   }
   state.leaving = true;
   state.changed = true;
-  hooks_.on_leaving(id);
+  hooks_.on_leaving(id, reason);
 }
 
 void SelfReports::SetLimit(const UpstreamId& id,
@@ -85,7 +91,7 @@
   }
   State& state = listed->second;
   if (report.leaving) {
-    SetLeaving(report.upstream, state);
+    SetLeaving(report.upstream, state, "a peer was told");
   }
   const Millis said_at = now - report.limit_age;
   const bool has_limit =
--- a/src/routing/self_reports.h
+++ b/src/routing/self_reports.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 #include "base/clock.h"
@@ -59,8 +60,10 @@
   static constexpr base::Millis kMaxPause{60'000};
 
   struct Hooks {
-    /// An upstream says for the first time that it leaves.
-    std::function<void(const base::UpstreamId&)> on_leaving;
+    /// An upstream says for the first time that it leaves, or was found to have
+    /// ended.
+    std::function<void(const base::UpstreamId&, std::string_view reason)>
+        on_leaving;
     /// An upstream names another limit, or none.
     std::function<void(const base::UpstreamId&, std::optional<double>)>
         on_limit;
@@ -75,6 +78,9 @@
   void RecordAnswer(const base::UpstreamId& id,
                     const SelfReport& report,
                     base::Millis now);
+  /// Records that another upstream answers at the upstream's address, so that
+  /// it has ended whatever its entry says. It counts as leaving.
+  void RecordEnded(const base::UpstreamId& id);
   /// Applies what a peer knows, unless the upstream has restarted since or is
   /// not listed. What is known to be newer stays.
   void ApplyShared(const SharedSelfReport& report, base::Millis now);
@@ -112,7 +118,9 @@
     bool changed = false;
   };
 
-  void SetLeaving(const base::UpstreamId& id, State& state);
+  void SetLeaving(const base::UpstreamId& id,
+                  State& state,
+                  std::string_view reason);
   void SetLimit(const base::UpstreamId& id,
                 State& state,
                 std::optional<double> requests_per_second,
--- a/test/decisions-test.cc
+++ b/test/decisions-test.cc
@@ -170,7 +170,7 @@
   routing::UpstreamHealth health{
       {[](const UpstreamId&, Millis) {}, [](const UpstreamId&) {}}};
   routing::SelfReports self_reports{
-      {[](const UpstreamId&) {},
+      {[](const UpstreamId&, std::string_view) {},
        [](const UpstreamId&, std::optional<double>) {},
        [](const UpstreamId&, Millis) {},
        [this](const UpstreamId&) { return rank; }}};
--- a/test/forward-reports-test.cc
+++ b/test/forward-reports-test.cc
@@ -73,6 +73,26 @@
   CHECK(other.seen().size() == kRequests);
 }
 
+TEST_CASE("an upstream whose address another one has gets another request",
+          "[reports]") {
+  ReportFixture fixture([](http::Exchange& exchange) -> Task<void> {
+    http::Response response = SealedResponse(exchange.request(), "");
+    response.status = 421;
+    (void)co_await exchange.Respond(std::move(response));
+  });
+  CHECK(fixture.Send().status == kUnavailable);
+  fixture.AddUpstream("u-2", "read", Answer);
+  for (int i = 0; i < 6; ++i) {
+    CHECK(fixture.Send().status == kOk);
+  }
+  CHECK(fixture.upstream.seen().size() == 1);
+  // It takes requests again once it has restarted at its own address.
+  fleet::UpstreamEntry entry = fixture.upstreams.Find(UpstreamId("u-1"))->entry;
+  entry.started_at += 1;
+  fixture.upstreams.ApplyEntry(UpstreamId("u-1"), entry, fixture.Now());
+  CHECK(fixture.self_reports.MaySend(UpstreamId("u-1"), fixture.Now()));
+}
+
 TEST_CASE("an upstream that asked for a pause gets requests in it",
           "[reports]") {
   ReportFixture fixture(RejectAndPause("3.5"));
--- a/test/forward-support.cc
+++ b/test/forward-support.cc
@@ -141,8 +141,8 @@
       health({[](const base::UpstreamId&, Millis) {},
               [](const base::UpstreamId&) {}}),
       self_reports(
-          {[this](const base::UpstreamId& id) {
-             upstreams.MarkLeaving(id, "its own answer", Now());
+          {[this](const base::UpstreamId& id, std::string_view why) {
+             upstreams.MarkLeaving(id, why, Now());
            },
            [](const base::UpstreamId&, std::optional<double>) {},
            [](const base::UpstreamId&, Millis) {},
--- a/test/load-replay.cc
+++ b/test/load-replay.cc
@@ -56,7 +56,7 @@
 }
 
 routing::SelfReports::Hooks NoOpSelfReportHooks() {
-  return {[](const base::UpstreamId&) {},
+  return {[](const base::UpstreamId&, std::string_view) {},
           [](const base::UpstreamId&, std::optional<double>) {},
           [](const base::UpstreamId&, Millis) {},
           [](const base::UpstreamId&) { return routing::DaemonRank(); }};
--- a/test/self-reports-test.cc
+++ b/test/self-reports-test.cc
@@ -46,7 +46,9 @@
   explicit ReportsFixture(size_t daemons = 1) {
     for (size_t rank = 0; rank < daemons; ++rank) {
       SelfReports::Hooks hooks;
-      hooks.on_leaving = [this](const UpstreamId&) { ++leaving_notices; };
+      hooks.on_leaving = [this](const UpstreamId&, std::string_view) {
+        ++leaving_notices;
+      };
       hooks.on_limit = [](const UpstreamId&, std::optional<double>) {};
       hooks.on_pause = [](const UpstreamId&, Millis) {};
       hooks.rank = [rank, daemons](const UpstreamId&) {
