Forget what gone upstreams said, and look for idle connections without a call each

SelfReports kept a state for every upstream that was ever listed; states of unlisted upstreams are dropped after ten minutes. At the limit of connections the readiness check, every 30 ms, asked the system about each connection; it now goes by what the server knows, and only a connection that is to be closed is asked. New test for the first.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -186,12 +186,15 @@
   bool receiving() const { return receiving_; }
   const asio::ip::address& remote() const { return remote_; }
   /// Since when the connection has waited for its next request. Meaningful if
-  /// `idle`.
+  /// `between_requests`.
   Millis idle_since() const { return idle_since_; }
-  /// Whether the connection is between two requests.
+  /// Whether the connection has served a request and none is known to follow.
+  bool between_requests() const { return has_served_ && !busy(); }
+  /// Whether the connection is between two requests, and no byte of the next
+  /// one has arrived.
   bool idle() {
     boost::system::error_code error;
-    return has_served_ && !busy() && stream_.socket().available(error) == 0;
+    return between_requests() && stream_.socket().available(error) == 0;
   }
   /// Closes the connection. Resets it if only its end would end the response,
   /// so that the response does not look complete.
@@ -441,8 +444,12 @@
   size_t connections() const { return sessions_.size(); }
 
   bool CanAccept() const {
-    return listening_ && !accept_failing_since_ &&
-           (sessions_.size() < limits_.connections || FindLongestIdle());
+    const bool has_room =
+        sessions_.size() < limits_.connections ||
+        std::any_of(sessions_.begin(), sessions_.end(), [](Session* session) {
+          return session->between_requests();
+        });
+    return listening_ && !accept_failing_since_ && has_room;
   }
 
   unsigned short port() const { return port_; }
@@ -506,8 +513,10 @@
   Session* FindLongestIdle() const {
     Session* longest = nullptr;
     for (Session* session : sessions_) {
-      if (session->idle() &&
-          (!longest || session->idle_since() < longest->idle_since())) {
+      const bool longer =
+          session->between_requests() &&
+          (!longest || session->idle_since() < longest->idle_since());
+      if (longer && session->idle()) {
         longest = session;
       }
     }
--- a/src/kernel/fleet_daemon.cc
+++ b/src/kernel/fleet_daemon.cc
@@ -277,6 +277,11 @@
       }
       mesh_.Tick();
       upstreams_.Prune(now);
+      self_reports_.Prune(
+          [this](const UpstreamId& id) {
+            return upstreams_.Find(id) != nullptr;
+          },
+          now);
       placer_.DispatchWaiting();
       ReportReadiness();
     }
@@ -430,7 +435,8 @@
   fleet::UpstreamList::Hooks UpstreamHooks() {
     fleet::UpstreamList::Hooks hooks;
     hooks.on_listed = [this](const fleet::Upstream& upstream) {
-      self_reports_.OnListed(upstream.id, upstream.entry.started_at);
+      self_reports_.OnListed(upstream.id, upstream.entry.started_at,
+                             clock_.Now());
       Emit(Event::kUpstreamListed,
            {{"upstream", upstream.id.value()},
             {"pool", upstream.entry.pool.value()},
--- a/src/routing/self_reports.cc
+++ b/src/routing/self_reports.cc
@@ -38,6 +38,7 @@
     return;
   }
   State& state = states_[id];
+  state.last_seen_at = now;
   if (report.leaving) {
     SetLeaving(id, state, "its own answer");
   }
@@ -164,12 +165,23 @@
                                      kLongLimitWindow));
 }
 
-void SelfReports::OnListed(const UpstreamId& id, int64_t started_at) {
+void SelfReports::OnListed(const UpstreamId& id,
+                           int64_t started_at,
+                           Millis now) {
   State& state = states_[id];
   if (state.started_at && *state.started_at != started_at) {
     state = State();
   }
   state.started_at = started_at;
+  state.last_seen_at = now;
+}
+
+void SelfReports::Prune(const std::function<bool(const UpstreamId&)>& is_listed,
+                        Millis now) {
+  std::erase_if(states_, [&](const auto& item) {
+    return now - item.second.last_seen_at > kRetention &&
+           !is_listed(item.first);
+  });
 }
 
 }  // namespace dandelion::routing
--- a/src/routing/self_reports.h
+++ b/src/routing/self_reports.h
@@ -58,6 +58,9 @@
   static constexpr base::Millis kLimitLifetime{30'000};
   /// Longest pause that is kept; a longer one is taken as this.
   static constexpr base::Millis kMaxPause{60'000};
+  /// What an upstream said is kept for this long after it was last listed or
+  /// answered.
+  static constexpr base::Millis kRetention{600'000};
 
   struct Hooks {
     /// An upstream says for the first time that it leaves, or was found to have
@@ -103,7 +106,13 @@
 
   /// The upstream is listed with a start time. If that is another than before,
   /// it has restarted, and all that it said is void.
-  void OnListed(const base::UpstreamId& id, int64_t started_at);
+  void OnListed(const base::UpstreamId& id,
+                int64_t started_at,
+                base::Millis now);
+  /// Drops what is known of upstreams for which `is_listed` is false and
+  /// `kRetention` has passed.
+  void Prune(const std::function<bool(const base::UpstreamId&)>& is_listed,
+             base::Millis now);
 
  private:
   struct State {
@@ -116,6 +125,8 @@
     base::Millis paused_until{0};
     SendWindow sends;
     bool changed = false;
+    /// When the upstream was last listed or answered.
+    base::Millis last_seen_at;
   };
 
   void SetLeaving(const base::UpstreamId& id,
--- a/test/forward-support.cc
+++ b/test/forward-support.cc
@@ -131,8 +131,8 @@
 
 ForwardFixture::ForwardFixture()
     : upstreams({[this](const fleet::Upstream& upstream) {
-                   self_reports.OnListed(upstream.id,
-                                         upstream.entry.started_at);
+                   self_reports.OnListed(upstream.id, upstream.entry.started_at,
+                                         Now());
                  },
                  [this](const fleet::Upstream& upstream, std::string_view why) {
                    migrator->MigrateFrom(upstream.id, std::string(why));
--- a/test/self-reports-test.cc
+++ b/test/self-reports-test.cc
@@ -55,7 +55,7 @@
         return DaemonRank{rank, daemons};
       };
       fleet.push_back(std::make_unique<SelfReports>(hooks));
-      fleet.back()->OnListed(kUpstream, kStartedAt);
+      fleet.back()->OnListed(kUpstream, kStartedAt, Millis(0));
     }
   }
 
@@ -138,11 +138,11 @@
   SelfReports& reports = fixture.first();
   reports.RecordAnswer(kUpstream, Leaving(), Millis(0));
   reports.RecordAnswer(kUpstream, SelfReport(), Millis(10));
-  reports.OnListed(kUpstream, kStartedAt);
+  reports.OnListed(kUpstream, kStartedAt, Millis(0));
   CHECK_FALSE(reports.MaySend(kUpstream, Millis(60'000)));
   CHECK_FALSE(reports.SendableAt(kUpstream, Millis(60'000)).has_value());
   CHECK(fixture.leaving_notices == 1);
-  reports.OnListed(kUpstream, kStartedAt + 1);
+  reports.OnListed(kUpstream, kStartedAt + 1, Millis(0));
   CHECK(reports.MaySend(kUpstream, Millis(60'000)));
 }
 
@@ -197,7 +197,7 @@
   SelfReports& teller = *fixture.fleet[0];
   SelfReports& told = *fixture.fleet[1];
   teller.RecordAnswer(kUpstream, Leaving(), Millis(0));
-  told.OnListed(kUpstream, kStartedAt + 1);
+  told.OnListed(kUpstream, kStartedAt + 1, Millis(0));
   proto::FleetBeat heartbeat;
   routing::AddSelfReports(teller, true, Millis(100), &heartbeat);
   REQUIRE(heartbeat.self_reports_size() == 1);
@@ -205,6 +205,21 @@
   CHECK(told.MaySend(kUpstream, Millis(100)));
 }
 
+TEST_CASE("what is known of upstreams that are gone is kept for good",
+          "[self_reports]") {
+  ReportsFixture fixture;
+  SelfReports& reports = fixture.first();
+  reports.RecordAnswer(kUpstream, Leaving(), Millis(0));
+  const auto unlisted = [](const UpstreamId&) { return false; };
+  reports.Prune(unlisted, SelfReports::kRetention);
+  CHECK_FALSE(reports.CollectShared(true, SelfReports::kRetention).empty());
+  const Millis later = SelfReports::kRetention + Millis(1);
+  reports.Prune([](const UpstreamId&) { return true; }, later);
+  CHECK_FALSE(reports.CollectShared(true, later).empty());
+  reports.Prune(unlisted, later);
+  CHECK(reports.CollectShared(true, later).empty());
+}
+
 TEST_CASE("the parts of a limit add up to it", "[self_reports]") {
   const auto daemons = static_cast<size_t>(GENERATE(1, 7, 82));
   const int64_t total = GENERATE(0, 1, 6, 81, 83, 500);
