Move the limit of connections and the parsing of self reports to their places

Read as a newcomer: the number of connections stood among functions for logs and metrics, and an anonymous namespace was closed and opened again around one function. StartAccepting fails if the acceptor can't be made non-blocking. No other change.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -394,7 +394,11 @@
     if (error) {
       return ListenError(acceptor_.local_endpoint(), error);
     }
+    // `AcceptWaiting` must not wait for a connection.
     acceptor_.non_blocking(true, error);
+    if (error) {
+      return ListenError(acceptor_.local_endpoint(), error);
+    }
     listening_ = true;
     base::Spawn(executor_, AcceptLoop(shared_from_this()));
     return absl::OkStatus();
--- a/src/kernel/daemon.cc
+++ b/src/kernel/daemon.cc
@@ -15,6 +15,7 @@
 #include "http/client.h"
 #include "http/connection_group.h"
 #include "http/server.h"
+#include "kernel/connection_limit.h"
 #include "kernel/loop_monitor.h"
 #include "kernel/quarantine_hooks.h"
 #include "kernel/registry.h"
--- a/src/kernel/fleet_daemon.cc
+++ b/src/kernel/fleet_daemon.cc
@@ -10,6 +10,7 @@
 #include "admission/stop_deadline.h"
 #include "fleet/fleet_state.h"
 #include "http/server.h"
+#include "kernel/connection_limit.h"
 #include "kernel/loop_monitor.h"
 #include "kernel/quarantine_hooks.h"
 #include "kernel/registry.h"
--- a/src/kernel/serving_telemetry.h
+++ b/src/kernel/serving_telemetry.h
@@ -16,11 +16,6 @@
                                         const base::Clock& clock,
                                         std::function<size_t()> connections);
 
-/// Returns how many connections of callers fit into `max_descriptors`, or into
-/// the process's limit if that is 0. Each may need a connection to an upstream,
-/// and peers, the platform and files need some.
-size_t CallerConnectionLimit(size_t max_descriptors);
-
 /// Adds what `now` counts beyond `*exported` to the metrics.
 void ExportTransportCounts(const membership::TransportCounts& now,
                            membership::TransportCounts* exported,
