--- a/src/admission/part_quarantine.cc
+++ b/src/admission/part_quarantine.cc
@@ -183,6 +183,9 @@
   if (known->requests.size() < kMaxRequestsPerCrash &&
       known->requests.insert(unproven).second) {
     must_evaluate_ = true;
+    // Peers that have it from this daemon only need it too.
+    known->changed = true;
+    changed_ = true;
   }
   return &*known;
 }
@@ -334,16 +337,24 @@
   }
 }
 
+void PartQuarantine::MergeQuarantine(const Quarantine& other,
+                                     Quarantine* known) {
+  const bool has_news =
+      other.crashes > known->crashes || other.trials > known->trials;
+  known->crashes = std::max(known->crashes, other.crashes);
+  known->last_break_at = std::max(known->last_break_at, other.last_break_at);
+  if (other.trials > known->trials) {
+    known->trials = other.trials;
+    known->last_trial_at = other.last_trial_at;
+  }
+  known->changed = known->changed || has_news;
+  changed_ = changed_ || has_news;
+}
+
 void PartQuarantine::AddQuarantine(Quarantine quarantine) {
   for (Quarantine& known : quarantines_) {
     if (SameParts(known.parts, quarantine.parts)) {
-      known.crashes = std::max(known.crashes, quarantine.crashes);
-      known.last_break_at =
-          std::max(known.last_break_at, quarantine.last_break_at);
-      if (quarantine.trials > known.trials) {
-        known.trials = quarantine.trials;
-        known.last_trial_at = quarantine.last_trial_at;
-      }
+      MergeQuarantine(quarantine, &known);
       return;
     }
     if (ContainsAll(quarantine.parts, known.parts)) {
@@ -361,6 +372,8 @@
                          }));
   }
   must_evaluate_ = true;
+  changed_ = true;
+  quarantine.changed = true;
   hooks_.on_quarantined(quarantine.parts.back(), quarantine.crashes);
   quarantines_.push_back(std::move(quarantine));
 }
@@ -471,11 +484,13 @@
                                        Millis now) {
   for (const PartEvidence::Proof& proof : evidence.proofs) {
     if (IsUsable(proof.part)) {
-      AddProof(proof.part, now - CheckedAge(proof.age));
+      const Millis sound_at = now - CheckedAge(proof.age);
+      const bool is_news = !IsProvenAt(proof.part, sound_at);
+      AddProof(proof.part, sound_at);
       RemoveProvenPart(proof.part);
-      // The other peers have received the same message.
-      proofs_[proof.part].told_at = now;
-      proofs_to_send_.erase(proof.part);
+      if (is_news) {
+        AnswerWithProof(proof.part, now);
+      }
     }
   }
   for (const PartEvidence::Crash& crash : evidence.crashes) {
--- a/src/admission/part_quarantine.h
+++ b/src/admission/part_quarantine.h
@@ -195,6 +195,8 @@
                   base::Millis now);
   /// Adds it, or merges it with a known one. Replaces narrower ones.
   void AddQuarantine(Quarantine quarantine);
+  /// Merges what another daemon knows of a quarantine of the same parts.
+  void MergeQuarantine(const Quarantine& other, Quarantine* known);
   void EvaluateCrashes(base::Millis now);
   std::vector<Candidate> MakeCandidates() const;
   bool IsQuarantinedAlone(const base::PartId& part) const;
--- a/src/kernel/fleet_daemon.cc
+++ b/src/kernel/fleet_daemon.cc
@@ -42,6 +42,13 @@
 // part in the reader election.
 constexpr Millis kTickInterval{30};
 constexpr Millis kJoinRetryInterval{1000};
+// Time that seeds have to answer before the store is asked for other daemons.
+constexpr Millis kSeedPatience{1500};
+// Time that seeds have to name larger hosts before this daemon takes itself for
+// a delegate and reads the store.
+constexpr Millis kFirstReadDelay{400};
+// Share of the host's link that answers to pulls of records may take.
+constexpr double kAnswerLinkShare = 0.4;
 // The store counts as silent if the upstreams' topic was last verified longer
 // ago than this; engines are then polled for their own reports.
 constexpr Millis kStoreSilentAfter{1200};
@@ -74,16 +81,15 @@
         settings_(std::move(settings)),
         adapter_(std::move(adapter)),
         clock_(base::Clock::BootTime()),
+        started_at_(clock_.Now()),
         metrics_(kMetricOrganisations),
         upstreams_(UpstreamHooks()),
         fleet_state_(clock_, upstreams_, FleetStateHooks()),
         reader_election_(settings_.host),
         follower_(clock_, adapter_.store, FollowerHooks()),
-        mesh_({settings_.host, settings_.peer_address},
-              settings_.data_centre,
-              clock_,
-              MeshHooks()),
         health_(HealthHooks()),
+        load_exchange_(loads_, health_),
+        mesh_(SelfInfo(), clock_, AnswerBytesPerSecond(), MeshHooks()),
         quarantine_(settings_.host, MakeQuarantineHooks(metrics_)),
         self_reports_(SelfReportHooks()),
         placer_(clock_,
@@ -219,6 +225,21 @@
     return absl::OkStatus();
   }
 
+  membership::DaemonInfo SelfInfo() const {
+    constexpr double kThousandths = 1000;
+    return {settings_.host, settings_.peer_address, settings_.data_centre,
+            static_cast<int64_t>(settings_.processor_share * kThousandths)};
+  }
+
+  int64_t AnswerBytesPerSecond() const {
+    constexpr double kBytesPerMegabit = 1e6 / 8;
+    if (settings_.link_mbps <= 0) {
+      return membership::AnswerBudget::kDefaultBytesPerSecond;
+    }
+    return static_cast<int64_t>(settings_.link_mbps * kBytesPerMegabit *
+                                kAnswerLinkShare);
+  }
+
   absl::Status OpenTransport() {
     absl::StatusOr<std::unique_ptr<membership::ZmqTransport>> transport =
         membership::ZmqTransport::Make(
@@ -236,25 +257,36 @@
     return absl::OkStatus();
   }
 
-  // Enters this daemon in the store's list of daemons and adds the listed
-  // daemons as peers. Retries until both calls have succeeded.
+  // Enters this daemon in the store's list of daemons and, unless a seed has
+  // told of others by then, adds the listed daemons. Retries until both calls
+  // have succeeded.
   Task<void> JoinMesh() {
+    const Millis started = clock_.Now();
     bool is_announced = false;
     for (;;) {
       if (!is_announced) {
+        const membership::DaemonInfo info = SelfInfo();
         store::PeerEntry self;
-        self.name = settings_.host.value();
-        self.address = settings_.peer_address;
+        self.name = info.id.value();
+        self.address = info.address;
+        self.data_centre = info.data_centre.value();
+        self.capacity = info.capacity;
         const absl::Status announce_status =
             co_await adapter_.peers.Announce(std::move(self));
         is_announced = announce_status.ok();
       }
-      if (is_announced) {
+      const bool lists_peers = clock_.Now() - started >= kSeedPatience;
+      if (is_announced && mesh_.HasContact()) {
+        co_return;
+      }
+      if (is_announced && lists_peers) {
         const absl::StatusOr<std::vector<store::PeerEntry>> peers =
             co_await adapter_.peers.ListPeers();
         if (peers.ok()) {
           for (const store::PeerEntry& peer : *peers) {
-            mesh_.AddPeer({HostId(peer.name), peer.address});
+            mesh_.AddDaemon({HostId(peer.name), peer.address,
+                             base::DataCentreId(peer.data_centre),
+                             peer.capacity});
           }
           co_return;
         }
@@ -267,9 +299,9 @@
     for (;;) {
       co_await base::SleepFor(kTickInterval);
       const Millis now = clock_.Now();
-      reader_election_.UpdateRole(
-          now, fleet_state_.VerificationAgeOf(Topic::kUpstreams),
-          mesh_.PeerReaderStatuses());
+      reader_election_.UpdateRole(now, AgeForElection(now),
+                                  mesh_.PeerReaderStatuses(),
+                                  mesh_.IsDelegateCandidate());
       ReportReaderElection();
       DetectStoreRecovery();
       quarantine_.Tick(now);
@@ -288,6 +320,17 @@
     }
   }
 
+  // Age of the last verification. A daemon that has just started and has none
+  // gives the others time to send theirs; only one that expects to be a
+  // delegate reads soon.
+  Millis AgeForElection(Millis now) const {
+    const Millis age = fleet_state_.VerificationAgeOf(Topic::kUpstreams);
+    const Millis up_for = now - started_at_;
+    const bool reads_first =
+        mesh_.IsDelegateCandidate() && up_for >= kFirstReadDelay;
+    return reads_first ? age : std::min(age, up_for);
+  }
+
   void ReportReaderElection() {
     if (reader_election_.is_reader() == reported_reading_) {
       return;
@@ -415,14 +458,22 @@
             settings_.retry_window};
   }
 
-  void OnUpdate(Topic topic,
-                const store::Update& update,
-                Millis verified_at,
-                bool from_store) {
+  std::vector<store::Record> OnUpdate(Topic topic,
+                                      const store::Update& update,
+                                      Millis verified_at) {
     std::vector<store::Record> changes =
         fleet_state_.ApplyUpdate(topic, update, verified_at);
     placer_.DispatchWaiting();
-    if (!from_store || !reader_election_.is_reader()) {
+    return changes;
+  }
+
+  // Applies what this daemon has read in the store. The reader tells the
+  // others; any other daemon only caught up with them.
+  void OnStoreUpdate(Topic topic,
+                     const store::Update& update,
+                     Millis verified_at) {
+    std::vector<store::Record> changes = OnUpdate(topic, update, verified_at);
+    if (!reader_election_.is_reader()) {
       for (const store::Record& record : changes) {
         mesh_.MarkChange(topic, record.offset);
       }
@@ -456,7 +507,7 @@
     };
     hooks.on_restarted = [this](const UpstreamId& id) {
       health_.Forget(id);
-      loads_.RemovePeerLoadsOn(id);
+      loads_.RemoveOthersOn(id);
     };
     return hooks;
   }
@@ -495,7 +546,7 @@
     };
     hooks.on_update = [this](Topic topic, const store::Update& update,
                              Millis verified_at) {
-      OnUpdate(topic, update, verified_at, true);
+      OnStoreUpdate(topic, update, verified_at);
     };
     return hooks;
   }
@@ -516,16 +567,9 @@
     };
     hooks.on_update = [this](Topic topic, const store::Update& update,
                              Millis verified_at) {
-      OnUpdate(topic, update, verified_at, false);
-    };
-    hooks.loads = [this](bool all) {
-      return routing::CollectOwnLoads(loads_, health_, all);
-    };
-    hooks.loads_changed = [this] { return loads_.HasChangedLoads(); };
-    hooks.on_loads = [this](const HostId& from,
-                            const proto::FleetBeat& heartbeat) {
-      routing::ApplyPeerLoads(from, heartbeat, loads_, health_);
+      return OnUpdate(topic, update, verified_at);
     };
+    AddLoadHooks(&hooks);
     hooks.part_evidence = [this](bool all) {
       return admission::CollectPartEvidence(quarantine_, all, clock_.Now());
     };
@@ -541,9 +585,6 @@
     hooks.on_self_reports = [this](const proto::FleetBeat& heartbeat) {
       routing::ApplySelfReports(heartbeat, clock_.Now(), self_reports_);
     };
-    hooks.on_peer_down = [this](const HostId& id) {
-      loads_.RemovePeerLoads(id);
-    };
     hooks.is_reader = [this] {
       return reader_election_.is_reader() && follower_.HasRecentRead();
     };
@@ -551,6 +592,36 @@
     return hooks;
   }
 
+  void AddLoadHooks(membership::Mesh::Hooks* hooks) {
+    hooks->start_load_round = [this] { load_exchange_.StartRound(); };
+    hooks->loads_changed = [this] { return load_exchange_.HasChanges(); };
+    hooks->add_loads = [this](proto::LoadScope scope, const HostId& receiver,
+                              bool all, proto::FleetBeat* heartbeat) {
+      load_exchange_.AddLoads(scope, receiver, all, heartbeat);
+    };
+    hooks->on_member_loads = [this](const HostId& from,
+                                    const proto::FleetBeat& heartbeat) {
+      load_exchange_.ApplyMemberLoads(from, heartbeat);
+    };
+    hooks->on_data_centre_loads = [this](const base::DataCentreId& data_centre,
+                                         const proto::FleetBeat& heartbeat) {
+      load_exchange_.ApplyDataCentreLoads(data_centre, heartbeat);
+    };
+    hooks->on_fleet_loads = [this](const proto::FleetBeat& heartbeat) {
+      load_exchange_.ApplyFleetLoads(heartbeat);
+    };
+    hooks->on_member_down = [this](const HostId& id) {
+      loads_.RemoveMember(id);
+    };
+    hooks->on_data_centre_down = [this](const base::DataCentreId& id) {
+      loads_.RemoveDataCentre(id);
+    };
+    hooks->on_fleet_loads_lost = [this] { loads_.RemoveFleetLoads(); };
+    hooks->on_following = [this](bool following) {
+      loads_.SetFollowing(following);
+    };
+  }
+
   routing::UpstreamHealth::Hooks HealthHooks() {
     return {[](const UpstreamId& id, Millis time) {
               Emit(Event::kUpstreamEjected,
@@ -629,16 +700,18 @@
   FleetSettings settings_;
   PlatformAdapter adapter_;
   base::Clock clock_;
+  Millis started_at_;
   Registry registry_;
   telemetry::Metrics metrics_;
   fleet::UpstreamList upstreams_;
   fleet::FleetState fleet_state_;
   store::ReaderElection reader_election_;
   store::Follower follower_;
-  membership::Mesh mesh_;
   std::unique_ptr<membership::ZmqTransport> transport_;
   routing::LoadTracker loads_;
   routing::UpstreamHealth health_;
+  routing::LoadExchange load_exchange_;
+  membership::Mesh mesh_;
   admission::PartQuarantine quarantine_;
   routing::SelfReports self_reports_;
   relay::Placer placer_;
--- a/src/kernel/fleet_settings.cc
+++ b/src/kernel/fleet_settings.cc
@@ -145,6 +145,13 @@
        NumberField([](double count, FleetSettings* settings) {
          settings->max_descriptors = static_cast<size_t>(count);
        })},
+      {"processor_share",
+       NumberField([](double share, FleetSettings* settings) {
+         settings->processor_share = share;
+       })},
+      {"link_mbps", NumberField([](double mbps, FleetSettings* settings) {
+         settings->link_mbps = mbps;
+       })},
       {"stop_grace_s", NumberField([](double s, FleetSettings* settings) {
          settings->stop_grace = FromSeconds(s);
        })},
--- a/src/kernel/fleet_settings.h
+++ b/src/kernel/fleet_settings.h
@@ -41,6 +41,10 @@
   base::Millis retry_window{10'000};
   /// Descriptors that the process may have open; 0 if not known.
   size_t max_descriptors = 0;
+  /// Processor of the host, in cores; 0 if not known.
+  double processor_share = 0;
+  /// Speed of the host's link; 0 if not known.
+  double link_mbps = 0;
   /// Time from the stop signal until the process is killed.
   base::Millis stop_grace{8000};
 };
--- a/src/membership/mesh.cc
+++ b/src/membership/mesh.cc
@@ -1,7 +1,6 @@
 #include "membership/mesh.h"
 
 #include <algorithm>
-#include <random>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -11,117 +10,102 @@
 namespace dandelion::membership {
 namespace {
 
+using base::DataCentreId;
 using base::HostId;
 using base::Millis;
 using store::Topic;
-using store::TopicReplica;
 using store::Update;
 using telemetry::Emit;
 using telemetry::Event;
 
-constexpr std::array<Topic, store::kTopicCount> kAllTopics = {
-    Topic::kOperator, Topic::kUpstreams};
 // Assumed age of a message that echoes no timestamp of this process, so that
 // its verifications count as very old.
 constexpr Millis kUnknownMessageAge{1'000'000};
-
-constexpr char kSeedPrefix[] = "seed ";
-
-size_t IndexOf(Topic topic) {
-  return static_cast<size_t>(topic);
-}
-
-void EncodeUpdate(const Update& update,
-                  Topic topic,
-                  Millis verification_age,
-                  proto::TopicUpdate* out) {
-  out->set_topic(static_cast<int>(topic));
-  out->set_from(update.from);
-  out->set_to(update.to);
-  out->set_snapshot(update.snapshot);
-  out->set_proof_age_ms(verification_age.count());
-  for (const store::Record& record : update.records) {
-    proto::TopicRecord* to = out->add_records();
-    to->set_key(record.key);
-    to->set_value(record.value);
-    to->set_removed(record.removed);
-    to->set_offset(record.offset);
-  }
-}
-
-Update DecodeUpdate(const proto::TopicUpdate& in) {
-  Update update;
-  update.from = in.from();
-  update.to = in.to();
-  update.snapshot = in.snapshot();
-  for (const proto::TopicRecord& record : in.records()) {
-    update.records.push_back(
-        {record.key(), record.value(), record.removed(), record.offset()});
-  }
-  return update;
+// Time between the first heartbeats on a link, and between the first hellos to
+// seeds, since the transport drops messages until it has connected.
+constexpr Millis kConnectRetryInterval{100};
+// Limits on what one message may list.
+constexpr int kMaxViewDaemons = 10'000;
+constexpr int kMaxEntries = 2000;
+
+// The name under which a daemon is linked until its own is known.
+HostId SeedName(const std::string& address) {
+  return HostId(absl::StrCat("seed ", address));
 }
 
-// The name under which a daemon is known until its own is.
-HostId SeedName(const std::string& address) {
-  return HostId(absl::StrCat(kSeedPrefix, address));
+DaemonInfo DecodeEntry(const proto::DaemonEntry& entry) {
+  return {HostId(entry.name()), entry.address(),
+          DataCentreId(entry.data_centre()), entry.capacity()};
 }
 
-bool IsSeed(const HostId& name) {
-  return name.value().starts_with(kSeedPrefix);
+proto::DaemonEntry EncodeEntry(const DaemonInfo& daemon) {
+  proto::DaemonEntry entry;
+  entry.set_name(daemon.id.value());
+  entry.set_address(daemon.address);
+  entry.set_data_centre(daemon.data_centre.value());
+  entry.set_capacity(daemon.capacity);
+  return entry;
 }
 
-int64_t RandomTimestampBase() {
-  std::random_device random;
-  std::uniform_int_distribution<int64_t> any(1, INT64_C(1) << 60);
-  return any(random);
+RecordExchange::Hooks MakeRecordHooks(
+    std::function<const store::TopicReplica&(Topic)> replica,
+    std::function<void(const HostId&, Topic, const Update&, Millis verified_at)>
+        apply,
+    std::function<void(const HostId&, const proto::FleetPull&)> send_pull) {
+  return {std::move(replica), std::move(apply), std::move(send_pull)};
 }
 
 }  // namespace
 
-Mesh::Mesh(PeerAddress self,
-           base::DataCentreId data_centre,
+Mesh::Mesh(DaemonInfo self,
            base::Clock clock,
+           int64_t answer_bytes_per_second,
            Hooks hooks)
-    : self_(std::move(self)),
-      data_centre_(std::move(data_centre)),
-      clock_(std::move(clock)),
+    : clock_(clock),
       hooks_(std::move(hooks)),
-      started_at_(clock_.Now()),
-      timestamp_base_(RandomTimestampBase()) {}
-
-int64_t Mesh::MakeTimestamp() const {
-  return timestamp_base_ + clock_.Now().count();
+      roster_(self, clock),
+      timestamps_(clock),
+      records_(
+          self.id,
+          clock,
+          answer_bytes_per_second,
+          MakeRecordHooks(
+              hooks_.replica,
+              [this](const HostId& from,
+                     Topic topic,
+                     const Update& update,
+                     Millis verified_at) {
+                if (!hooks_.on_update(topic, update, verified_at).empty()) {
+                  RelayUpdate(from, topic, update);
+                }
+              },
+              [this](const HostId& to, const proto::FleetPull& pull) {
+                proto::Envelope message;
+                *message.mutable_fleet_pull() = MakePull();
+                message.mutable_fleet_pull()->MergeFrom(pull);
+                hooks_.send(to, message);
+              })),
+      last_tick_at_(clock_.Now()) {}
+
+void Mesh::AddDaemon(const DaemonInfo& daemon) {
+  roster_.Add(daemon);
 }
 
-std::optional<Millis> Mesh::ResolveTimestamp(int64_t timestamp) const {
-  const Millis at(timestamp - timestamp_base_);
-  if (at < started_at_ || at > clock_.Now()) {
-    return std::nullopt;
-  }
-  return at;
-}
-
-void Mesh::AddPeer(const PeerAddress& peer) {
-  if (peer.id == self_.id || peer.address == self_.address) {
-    return;
-  }
-  const auto known = peers_.find(peer.id);
-  if (known != peers_.end() && known->second.address.address == peer.address) {
-    return;
+void Mesh::AddSeed(const std::string& address) {
+  if (address != roster_.self().address) {
+    seeds_.push_back({{SeedName(address), address}});
   }
-  Peer added;
-  added.address = peer;
-  added.added_at = clock_.Now();
-  added.next_heartbeat_at = clock_.Now();
-  peers_[peer.id] = std::move(added);
-  hooks_.connect(peer);
 }
 
-void Mesh::AddSeed(const std::string& address) {
-  AddPeer({SeedName(address), address});
+void Mesh::SetDraining() {
+  draining_ = true;
+  roster_.SetDraining();
 }
 
 void Mesh::OnMessage(const HostId& from, const proto::Envelope& message) {
+  if (from.empty() || from == roster_.self().id) {
+    return;
+  }
   switch (message.body_case()) {
     case proto::Envelope::kFleetBeat:
       OnHeartbeat(from, message.fleet_beat());
@@ -130,379 +114,633 @@
       OnPull(from, message.fleet_pull());
       break;
     case proto::Envelope::kFleetPeers:
-      OnPeers(message.fleet_peers());
+      OnPeers(from, message.fleet_peers());
       break;
     default:
       break;
   }
 }
 
-Mesh::Peer& Mesh::RecordPeerContact(const HostId& from,
-                                    const std::string& address) {
-  const HostId seed = SeedName(address);
-  if (peers_.erase(seed) > 0) {
-    hooks_.disconnect(seed);
-  }
-  AddPeer({from, address});
-  Peer& peer = peers_[from];
-  peer.last_heard_at = clock_.Now();
-  peer.heard = true;
-  if (!peer.up) {
-    peer.up = true;
-    Emit(Event::kPeerUp, {{"peer", from.value()}, {"address", address}});
-  }
-  return peer;
-}
-
 void Mesh::OnHeartbeat(const HostId& from, const proto::FleetBeat& heartbeat) {
-  if (from == self_.id) {
+  if (heartbeat.address().empty() || heartbeat.data_centre().empty()) {
     return;
   }
-  Peer& peer = RecordPeerContact(from, heartbeat.address());
-  peer.reading = heartbeat.reading();
-  peer.store_slow = heartbeat.store_slow();
-  peer.last_timestamp = heartbeat.stamp();
-  peer.last_timestamp_at = clock_.Now();
-  ApplyUpdates(from, peer, heartbeat);
-  hooks_.on_loads(from, heartbeat);
+  const DaemonInfo sender = {from, heartbeat.address(),
+                             DataCentreId(heartbeat.data_centre()),
+                             heartbeat.capacity()};
+  const auto known = links_.find(from);
+  if (roster_.Add(sender) && known != links_.end()) {
+    hooks_.connect({from, sender.address});
+  }
+  roster_.RecordContact(from, heartbeat.draining());
+  has_contact_ = true;
+  const Millis now = clock_.Now();
+  if (heartbeat.reports() || known != links_.end()) {
+    Link& link = OpenLink(from);
+    link.reported_at =
+        heartbeat.reports() ? std::optional<Millis>(now) : std::nullopt;
+    const bool follows = heartbeat.reports() && heartbeat.follows();
+    if (follows && !link.follower) {
+      link.next_full_at = now;
+      link.next_heartbeat_at = now;
+    }
+    link.follower = follows;
+    link.is_delegate = heartbeat.is_delegate();
+    link.reading = heartbeat.reading();
+    link.store_slow = heartbeat.store_slow();
+    link.hears_reader = heartbeat.hears_reader();
+    link.last_timestamp = heartbeat.stamp();
+    link.last_timestamp_at = now;
+  }
+  // The peer sent the message `echo_age_ms` after it received the echoed
+  // timestamp, so at the earliest `echo_age_ms` after the timestamp was made.
+  const std::optional<Millis> echoed_at = timestamps_.Resolve(heartbeat.echo());
+  records_.Apply(from, heartbeat,
+                 echoed_at ? *echoed_at + Millis(heartbeat.echo_age_ms())
+                           : now - kUnknownMessageAge);
+  ApplyViews(from, heartbeat);
+  ApplyLoads(from, heartbeat);
   if (heartbeat.has_part_evidence()) {
     hooks_.on_part_evidence(from, heartbeat.part_evidence());
   }
   hooks_.on_self_reports(heartbeat);
 }
 
-void Mesh::ApplyUpdates(const HostId& from,
-                        Peer& peer,
-                        const proto::FleetBeat& heartbeat) {
-  const Millis now = clock_.Now();
-  // The peer sent the message `echo_age_ms` after it received the echoed
-  // timestamp, so at the earliest `echo_age_ms` after the timestamp was made.
-  const std::optional<Millis> echoed_at = ResolveTimestamp(heartbeat.echo());
-  const Millis earliest_sent_at =
-      echoed_at ? *echoed_at + Millis(heartbeat.echo_age_ms())
-                : now - kUnknownMessageAge;
-  bool behind = false;
-  bool digest_differs = false;
-  for (const proto::TopicUpdate& in : heartbeat.updates()) {
-    if (in.topic() < 0 || in.topic() >= static_cast<int>(store::kTopicCount)) {
-      continue;  // The peer is newer and has topics unknown to this version.
-    }
-    const auto topic = static_cast<Topic>(in.topic());
-    const Update update = DecodeUpdate(in);
-    const bool gap =
-        !update.snapshot && hooks_.replica(topic).LeavesGap(update.from);
-    if (gap) {
-      behind = true;
+void Mesh::ApplyLoads(const HostId& from, const proto::FleetBeat& heartbeat) {
+  const DataCentreId data_centre(heartbeat.data_centre());
+  const bool local = data_centre == roster_.self().data_centre;
+  switch (heartbeat.load_scope()) {
+    case proto::OWN:
+      if (local) {
+        hooks_.on_member_loads(from, heartbeat);
+      }
+      break;
+    case proto::DATA_CENTRE: {
+      const auto primary = primaries_.find(data_centre);
+      if (!local && primary != primaries_.end() && primary->second == from) {
+        hooks_.on_data_centre_loads(data_centre, heartbeat);
+      }
+      break;
     }
-    if (gap && update.records.empty()) {
-      RecordProgress(topic, update.from);
+    case proto::FLEET:
+      if (followed_ == from) {
+        fleet_loads_at_ = clock_.Now();
+        has_fleet_loads_ = has_fleet_loads_ || heartbeat.all_loads();
+        hooks_.on_fleet_loads(heartbeat);
+      }
+      break;
+    default:
+      break;  // The peer is newer and has scopes unknown to this version.
+  }
+}
+
+void Mesh::ApplyViews(const HostId& from, const proto::FleetBeat& heartbeat) {
+  for (const proto::DataCentreView& view : heartbeat.views()) {
+    const bool of_sender = view.data_centre() == heartbeat.data_centre();
+    if (view.alive_size() > kMaxViewDaemons ||
+        (!of_sender && followed_ != from)) {
       continue;
     }
-    hooks_.on_update(topic, update,
-                     earliest_sent_at - Millis(in.proof_age_ms()));
-    RecordProgress(topic, update.from);
-    const TopicReplica& replica = hooks_.replica(topic);
-    digest_differs = digest_differs ||
-                     (in.key_digest() != 0 && update.to == replica.position() &&
-                      in.key_digest() != replica.key_digest());
-  }
-  const bool incomplete = behind || digest_differs;
-  peer.ahead = incomplete;
-  if (heartbeat.answers_pull()) {
-    pulls_.OnAnswer(from, !incomplete, now);
-  }
-  if (!incomplete) {
+    for (const proto::DaemonEntry& entry : view.delegates()) {
+      const DaemonInfo daemon = DecodeEntry(entry);
+      roster_.Add(daemon);
+      if (heartbeat.is_delegate()) {
+        roster_.RecordVouched(daemon.id);
+      }
+    }
+    const DataCentreId data_centre(view.data_centre());
+    const bool hears_itself =
+        is_delegate_ && data_centre == roster_.self().data_centre;
+    if (!hears_itself && view.alive_size() > 0) {
+      roster_.SetView(data_centre, from,
+                      {view.alive().begin(), view.alive().end()},
+                      Millis(std::max<int64_t>(0, view.age_ms())));
+    }
+  }
+}
+
+void Mesh::OnPull(const HostId& from, const proto::FleetPull& pull) {
+  if (pull.address().empty() || pull.data_centre().empty()) {
     return;
   }
-  if (heartbeat.answers_pull()) {
-    PullFromAnother();
-  } else {
-    PullRecords(from, digest_differs);
+  roster_.Add({from, pull.address(), DataCentreId(pull.data_centre()),
+               pull.capacity()});
+  OpenLink(from).reported_at = clock_.Now();
+  if (pull.positions_size() > 0) {
+    waiting_pulls_.emplace_back(from, pull);
+    AnswerPulls();
+    return;
+  }
+  proto::Envelope answer;
+  proto::FleetPeers& peers = *answer.mutable_fleet_peers();
+  *peers.add_daemons() = EncodeEntry(roster_.self());
+  for (const DataCentreId& data_centre : roster_.DataCentres()) {
+    if (data_centre.value() == pull.data_centre()) {
+      for (const DaemonInfo& daemon : roster_.DaemonsOf(data_centre)) {
+        *peers.add_daemons() = EncodeEntry(daemon);
+      }
+      continue;
+    }
+    for (const HostId& id : roster_.DelegatesOf(data_centre)) {
+      *peers.add_daemons() = MakeEntry(id);
+    }
   }
+  hooks_.send(from, answer);
 }
 
-void Mesh::RecordProgress(Topic topic, int64_t end) {
-  PeerProgress& progress = progress_[IndexOf(topic)];
-  progress.end = std::max(progress.end, end);
-  if (!hooks_.replica(topic).LeavesGap(progress.end)) {
-    progress.behind_since.reset();
-  } else if (!progress.behind_since) {
-    progress.behind_since = clock_.Now();
+void Mesh::AnswerPulls() {
+  while (!waiting_pulls_.empty() && records_.MayAnswer()) {
+    const auto [id, pull] = std::move(waiting_pulls_.front());
+    waiting_pulls_.pop_front();
+    const auto link = links_.find(id);
+    if (link == links_.end()) {
+      continue;
+    }
+    proto::Envelope answer = MakeHeartbeat(link->second);
+    answer.mutable_fleet_beat()->set_follows(followed_ == id);
+    records_.AddMissingRecords(pull, answer.mutable_fleet_beat());
+    Send(id, link->second, answer);
   }
 }
 
-bool Mesh::IsBehind(Topic topic) const {
-  const PeerProgress& progress = progress_[IndexOf(topic)];
-  return progress.behind_since &&
-         clock_.Now() - *progress.behind_since > kPullPatience &&
-         hooks_.replica(topic).LeavesGap(progress.end);
+void Mesh::OnPeers(const HostId& from, const proto::FleetPeers& peers) {
+  const int count = std::min(peers.daemons_size(), kMaxEntries);
+  for (int i = 0; i < count; ++i) {
+    const DaemonInfo daemon = DecodeEntry(peers.daemons(i));
+    if (!daemon.address.empty() && !daemon.data_centre.empty()) {
+      roster_.Add(daemon);
+    }
+  }
+  roster_.RecordVouched(from);
 }
 
-void Mesh::PullPeers(const HostId& seed) {
-  // A pull without positions asks for no records.
-  proto::Envelope message;
-  message.mutable_fleet_pull()->set_address(self_.address);
-  hooks_.send(seed, message);
+Mesh::Link& Mesh::OpenLink(const HostId& id) {
+  const auto [known, is_new] = links_.try_emplace(id);
+  if (is_new) {
+    known->second.opened_at = clock_.Now();
+    known->second.next_heartbeat_at = clock_.Now();
+    hooks_.connect({id, roster_.Find(id)->address});
+  }
+  return known->second;
 }
 
-void Mesh::PullFromAnother() {
-  std::vector<HostId> candidates;
-  for (const auto& [name, peer] : peers_) {
-    if (peer.up && peer.ahead && !pulls_.IsTurnedAway(name, clock_.Now())) {
-      candidates.push_back(name);
+bool Mesh::IsReporting(const Link& link) const {
+  return link.reported_at &&
+         clock_.Now() - *link.reported_at <= Roster::kContactTimeout;
+}
+
+bool Mesh::IsProbed(const Link& link) const {
+  return link.probed_until && clock_.Now() < *link.probed_until;
+}
+
+bool Mesh::IsLocal(const HostId& id) const {
+  const DaemonInfo* daemon = roster_.Find(id);
+  return daemon && daemon->data_centre == roster_.self().data_centre;
+}
+
+void Mesh::Tick() {
+  const Millis now = clock_.Now();
+  if (now - last_tick_at_ > kMaxTickGap) {
+    roster_.ExtendContacts(now - last_tick_at_);
+  }
+  last_tick_at_ = now;
+  if (now >= next_update_at_) {
+    next_update_at_ = now + kUpdateInterval;
+    UpdateLinks();
+  }
+  AskSeeds();
+  AnswerPulls();
+  SendNews();
+  SendDueHeartbeats();
+}
+
+void Mesh::UpdateLinks() {
+  roster_.Update();
+  PassOverSilentDelegates();
+  ChooseDelegates();
+  ProbeSilentDaemons();
+  ReportContacts();
+  ChoosePrimaries();
+  ChooseFollowed();
+  CloseUnusedLinks();
+}
+
+void Mesh::PassOverSilentDelegates() {
+  const Millis now = clock_.Now();
+  for (const auto& [id, link] : links_) {
+    if (link.chosen_at && !roster_.IsInContact(id) &&
+        now - *link.chosen_at > Roster::kFirstContactTimeout) {
+      roster_.RecordSilence(id);
     }
   }
-  if (candidates.empty()) {
-    return;
+}
+
+void Mesh::ChooseDelegates() {
+  const Millis now = clock_.Now();
+  std::vector<HostId> chosen = roster_.DelegatesOf(roster_.self().data_centre);
+  if (std::erase(chosen, roster_.self().id) > 0) {
+    candidate_since_ = candidate_since_.value_or(now);
+  } else {
+    candidate_since_.reset();
+  }
+  is_delegate_ = candidate_since_ && now - *candidate_since_ >= kWarmUp;
+  if (candidate_since_) {
+    for (const DataCentreId& data_centre : roster_.DataCentres()) {
+      if (data_centre != roster_.self().data_centre) {
+        const std::vector<HostId> remote = roster_.DelegatesOf(data_centre);
+        chosen.insert(chosen.end(), remote.begin(), remote.end());
+      }
+    }
+  }
+  for (const HostId& id : chosen) {
+    Link& link = OpenLink(id);
+    link.chosen_at = link.chosen_at.value_or(now);
+  }
+  for (auto& [id, link] : links_) {
+    if (std::find(chosen.begin(), chosen.end(), id) == chosen.end()) {
+      link.chosen_at.reset();
+    }
   }
-  // Daemons that ask at the same time choose different peers.
-  const size_t choice =
-      std::hash<std::string>()(self_.id.value()) + pulls_asked_elsewhere_++;
-  PullRecords(candidates[choice % candidates.size()], false);
 }
 
-void Mesh::PullRecords(const HostId& from, bool complete) {
-  if (!pulls_.TryStart(from, clock_.Now())) {
+void Mesh::ProbeSilentDaemons() {
+  const Millis now = clock_.Now();
+  if (!is_delegate_ || now < next_probes_at_) {
     return;
   }
-  proto::Envelope message;
-  proto::FleetPull* pull = message.mutable_fleet_pull();
-  pull->set_address(self_.address);
-  for (const Topic topic : kAllTopics) {
-    const TopicReplica& replica = hooks_.replica(topic);
-    pull->add_positions(replica.started() && !complete ? replica.position()
-                                                       : -1);
+  next_probes_at_ = now + kReunionInterval;
+  for (const DataCentreId& data_centre : roster_.DataCentres()) {
+    for (const HostId& id : roster_.SilentOf(data_centre)) {
+      OpenLink(id).probed_until = now + Roster::kContactTimeout;
+    }
   }
-  hooks_.send(from, message);
 }
 
-void Mesh::OnPull(const HostId& from, const proto::FleetPull& pull) {
-  if (from == self_.id) {
+void Mesh::ReportContacts() {
+  std::set<HostId> contacts = roster_.Contacts();
+  for (const HostId& id : contacts) {
+    if (!contacts_.contains(id)) {
+      Emit(Event::kPeerUp, {{"peer", id.value()}});
+    }
+  }
+  for (const HostId& id : contacts_) {
+    if (!contacts.contains(id)) {
+      Emit(Event::kPeerDown, {{"peer", id.value()}});
+      hooks_.on_member_down(id);
+    }
+  }
+  contacts_ = std::move(contacts);
+}
+
+void Mesh::ChoosePrimaries() {
+  std::map<DataCentreId, HostId> primaries;
+  for (const DataCentreId& data_centre : roster_.DataCentres()) {
+    for (const HostId& id : roster_.DelegatesOf(data_centre)) {
+      const auto link = links_.find(id);
+      if (link != links_.end() && link->second.is_delegate &&
+          roster_.IsInContact(id)) {
+        primaries.emplace(data_centre, id);
+      }
+    }
+  }
+  for (const auto& [data_centre, id] : primaries_) {
+    if (!primaries.contains(data_centre)) {
+      hooks_.on_data_centre_down(data_centre);
+    }
+  }
+  primaries_ = std::move(primaries);
+}
+
+void Mesh::ChooseFollowed() {
+  has_fleet_loads_ = has_fleet_loads_ && !is_delegate_;
+  // One that was a delegate goes by its own sums until it has others.
+  hooks_.on_following(has_fleet_loads_);
+  if (is_delegate_) {
+    followed_.reset();
     return;
   }
-  Peer& peer = RecordPeerContact(from, pull.address());
-  proto::Envelope answer = MakeHeartbeat(peer, false);
-  AddMissingRecords(pull, answer.mutable_fleet_beat());
-  hooks_.send(from, answer);
-  proto::Envelope list;
-  for (const auto& [name, known] : peers_) {
-    if (known.up) {
-      list.mutable_fleet_peers()->add_names(name.value());
-      list.mutable_fleet_peers()->add_addresses(known.address.address);
+  const auto may_follow = [this](const HostId& id, const Link& link) {
+    return link.chosen_at && roster_.IsInContact(id);
+  };
+  const auto current = followed_ ? links_.find(*followed_) : links_.end();
+  const bool keep = current != links_.end() &&
+                    may_follow(current->first, current->second) &&
+                    current->second.is_delegate;
+  if (!keep) {
+    followed_.reset();
+    std::pair<bool, uint64_t> best;
+    for (const auto& [id, link] : links_) {
+      const std::pair<bool, uint64_t> weight = {
+          link.is_delegate,
+          RendezvousWeight(roster_.self().id.value(), id.value())};
+      if (may_follow(id, link) && (!followed_ || weight > best)) {
+        followed_ = id;
+        best = weight;
+      }
     }
   }
-  if (list.has_fleet_peers()) {
-    hooks_.send(from, list);
+  if (clock_.Now() - fleet_loads_at_ > kFleetLoadLifetime) {
+    fleet_loads_at_ = clock_.Now();
+    hooks_.on_fleet_loads_lost();
   }
 }
 
-void Mesh::AddMissingRecords(const proto::FleetPull& pull,
-                             proto::FleetBeat* heartbeat) {
+void Mesh::CloseUnusedLinks() {
+  std::erase_if(links_, [this](const auto& item) {
+    const auto& [id, link] = item;
+    if (link.chosen_at || IsReporting(link) || IsProbed(link)) {
+      return false;
+    }
+    hooks_.disconnect(id);
+    records_.Forget(id);
+    return true;
+  });
+}
+
+void Mesh::AskSeeds() {
   const Millis now = clock_.Now();
-  heartbeat->set_answers_pull(pull.positions_size() > 0);
-  if (pull.positions_size() == 0 || !answer_budget_.MaySend(now)) {
+  if (now < next_seeds_at_) {
     return;
   }
-  heartbeat->clear_updates();
-  for (const Topic topic : kAllTopics) {
-    const TopicReplica& replica = hooks_.replica(topic);
-    const int index = static_cast<int>(topic);
-    if (!replica.started() || index >= pull.positions_size()) {
-      continue;
+  const bool needs_seeds = !followed_ || is_delegate_;
+  for (Seed& seed : seeds_) {
+    if (needs_seeds && !seed.connected) {
+      hooks_.connect(seed.peer);
+    } else if (!needs_seeds && seed.connected) {
+      hooks_.disconnect(seed.peer.id);
+    }
+    seed.connected = needs_seeds;
+    if (needs_seeds) {
+      SendHello(seed.peer.id);
     }
-    const int64_t position = pull.positions(index);
-    const bool complete =
-        position < replica.position() - TopicReplica::kRemovalRetention ||
-        position < 0;
-    EncodeUpdate(
-        complete ? replica.MakeSnapshot() : replica.UpdateFrom(position), topic,
-        replica.VerificationAge(now), heartbeat->add_updates());
   }
-  answer_budget_.Spend(heartbeat->ByteSizeLong(), now);
+  next_seeds_at_ = now + (is_delegate_   ? kReunionInterval
+                          : has_contact_ ? kSeedInterval
+                                         : kConnectRetryInterval);
 }
 
-void Mesh::OnPeers(const proto::FleetPeers& peers) {
-  const int count = std::min(peers.names_size(), peers.addresses_size());
-  for (int i = 0; i < count; ++i) {
-    AddPeer({HostId(peers.names(i)), peers.addresses(i)});
-  }
+proto::FleetPull Mesh::MakePull() const {
+  proto::FleetPull pull;
+  pull.set_address(roster_.self().address);
+  pull.set_data_centre(roster_.self().data_centre.value());
+  pull.set_capacity(roster_.self().capacity);
+  return pull;
 }
 
-proto::Envelope Mesh::MakeHeartbeat(const Peer& peer, bool all_loads) {
+void Mesh::SendHello(const HostId& seed) {
+  proto::Envelope message;
+  *message.mutable_fleet_pull() = MakePull();
+  hooks_.send(seed, message);
+}
+
+proto::Envelope Mesh::MakeHeartbeat(const Link& link) const {
   const Millis now = clock_.Now();
+  const DaemonInfo& self = roster_.self();
   proto::Envelope message;
   proto::FleetBeat* heartbeat = message.mutable_fleet_beat();
-  heartbeat->set_data_centre(data_centre_.value());
-  heartbeat->set_address(self_.address);
-  heartbeat->set_stamp(MakeTimestamp());
-  heartbeat->set_echo(peer.last_timestamp);
-  heartbeat->set_echo_age_ms((now - peer.last_timestamp_at).count());
+  heartbeat->set_data_centre(self.data_centre.value());
+  heartbeat->set_address(self.address);
+  heartbeat->set_capacity(self.capacity);
+  heartbeat->set_stamp(timestamps_.Make());
+  heartbeat->set_echo(link.last_timestamp);
+  heartbeat->set_echo_age_ms((now - link.last_timestamp_at).count());
   heartbeat->set_reading(hooks_.is_reader());
-  heartbeat->set_store_slow(hooks_.is_reader() && hooks_.store_slow());
+  heartbeat->set_store_slow(IsStoreSlow());
+  heartbeat->set_hears_reader(HearsReader());
   heartbeat->set_draining(draining_);
-  heartbeat->set_all_loads(all_loads);
-  for (const Topic topic : kAllTopics) {
-    const TopicReplica& replica = hooks_.replica(topic);
-    if (!replica.started()) {
-      continue;
-    }
-    // Without records: tells up to where and since when the replica is
-    // complete.
-    Update position_update;
-    position_update.from =
-        std::min(changes_end_[IndexOf(topic)], replica.position());
-    position_update.to = replica.position();
-    proto::TopicUpdate* out = heartbeat->add_updates();
-    EncodeUpdate(position_update, topic, replica.VerificationAge(now), out);
-    out->set_key_digest(replica.key_digest());
-  }
+  heartbeat->set_is_delegate(is_delegate_);
+  heartbeat->set_reports(link.chosen_at.has_value() || IsProbed(link));
+  records_.AddPositions(heartbeat);
   return message;
 }
 
-void Mesh::SendHeartbeat(const HostId& to, Peer& peer, bool all_loads) {
-  proto::Envelope message = MakeHeartbeat(peer, all_loads);
-  if (all_loads) {
-    for (proto::UpstreamLoad& load : hooks_.loads(true)) {
-      *message.mutable_fleet_beat()->add_loads() = std::move(load);
+proto::LoadScope Mesh::ScopeFor(const HostId& to, const Link& link) const {
+  if (!IsLocal(to)) {
+    return proto::DATA_CENTRE;
+  }
+  return link.chosen_at ? proto::OWN : proto::FLEET;
+}
+
+bool Mesh::CarriesLoads(const HostId& to, const Link& link) const {
+  switch (ScopeFor(to, link)) {
+    case proto::OWN:
+      return true;
+    case proto::DATA_CENTRE:
+      return is_delegate_;
+    default:
+      return link.follower && IsReporting(link);
+  }
+}
+
+proto::DaemonEntry Mesh::MakeEntry(const HostId& id) const {
+  const DaemonInfo* known = roster_.Find(id);
+  return EncodeEntry(known ? *known : roster_.self());
+}
+
+proto::DataCentreView Mesh::MakeView(const DataCentreId& data_centre,
+                                     const Roster::View& view) const {
+  proto::DataCentreView out;
+  out.set_data_centre(data_centre.value());
+  out.mutable_alive()->Add(view.alive.begin(), view.alive.end());
+  out.set_age_ms(view.age.count());
+  for (const HostId& id : roster_.DelegatesOf(data_centre)) {
+    *out.add_delegates() = MakeEntry(id);
+  }
+  return out;
+}
+
+void Mesh::AddViews(const HostId& to,
+                    const Link& link,
+                    proto::FleetBeat* heartbeat) const {
+  const DataCentreId& own = roster_.self().data_centre;
+  // A daemon that is wrongly taken for a delegate names those that are.
+  *heartbeat->add_views() = MakeView(
+      own,
+      {is_delegate_ ? roster_.OwnView() : std::set<DaemonHash>(), Millis(0)});
+  const bool passes_on = IsLocal(to) && link.follower && IsReporting(link);
+  if (!passes_on) {
+    return;
+  }
+  for (const DataCentreId& data_centre : roster_.DataCentres()) {
+    const std::optional<Roster::View> view = roster_.ViewOf(data_centre);
+    if (view && (data_centre != own || !is_delegate_)) {
+      *heartbeat->add_views() = MakeView(data_centre, *view);
     }
-    *message.mutable_fleet_beat()->mutable_part_evidence() =
-        hooks_.part_evidence(true);
-    hooks_.add_self_reports(true, message.mutable_fleet_beat());
   }
+}
+
+void Mesh::AddEverything(const HostId& to,
+                         Link& link,
+                         proto::FleetBeat* heartbeat) {
+  if (CarriesLoads(to, link)) {
+    heartbeat->set_load_scope(ScopeFor(to, link));
+    heartbeat->set_all_loads(true);
+    hooks_.add_loads(heartbeat->load_scope(), to, true, heartbeat);
+  }
+  AddViews(to, link, heartbeat);
+  *heartbeat->mutable_part_evidence() = hooks_.part_evidence(true);
+  hooks_.add_self_reports(true, heartbeat);
+}
+
+bool Mesh::AddNews(const HostId& to,
+                   const Link& link,
+                   const News& news,
+                   proto::FleetBeat* heartbeat) {
+  if (CarriesLoads(to, link)) {
+    heartbeat->set_load_scope(ScopeFor(to, link));
+    hooks_.add_loads(heartbeat->load_scope(), to, false, heartbeat);
+  }
+  if (news.view) {
+    AddViews(to, link, heartbeat);
+  }
+  if (news.evidence) {
+    *heartbeat->mutable_part_evidence() = *news.evidence;
+  }
+  *heartbeat->mutable_self_reports() = news.self_reports.self_reports();
+  return heartbeat->loads_size() > 0 || heartbeat->views_size() > 0 ||
+         heartbeat->has_part_evidence() || heartbeat->self_reports_size() > 0;
+}
+
+void Mesh::Send(const HostId& to, Link& link, const proto::Envelope& message) {
+  const Millis now = clock_.Now();
+  const bool connecting = now - link.opened_at < kConnectTime;
+  link.next_heartbeat_at =
+      now + (connecting ? kConnectRetryInterval : kHeartbeatInterval);
   hooks_.send(to, message);
 }
 
-void Mesh::Tick() {
-  ExpireSilentPeers();
+void Mesh::SendDueHeartbeats() {
   const Millis now = clock_.Now();
-  const Millis interval =
-      std::max(kHeartbeatInterval,
-               kHeartbeatIntervalPerPeer * static_cast<int64_t>(peers_.size()));
-  for (auto& [name, peer] : peers_) {
-    if (now < peer.next_heartbeat_at) {
+  for (auto& [id, link] : links_) {
+    if (now < link.next_heartbeat_at) {
       continue;
     }
-    peer.next_heartbeat_at = now + interval;
-    if (IsSeed(name)) {
-      PullPeers(name);
+    proto::Envelope message = MakeHeartbeat(link);
+    proto::FleetBeat* heartbeat = message.mutable_fleet_beat();
+    heartbeat->set_follows(followed_ == id);
+    const bool connecting = now - link.opened_at < kConnectTime;
+    if (now >= link.next_full_at) {
+      link.next_full_at = connecting ? now : now + kFullInterval;
+      AddEverything(id, link, heartbeat);
     }
-    SendHeartbeat(name, peer,
-                  peer.heartbeats_sent % kHeartbeatsPerFullLoads == 0);
-    ++peer.heartbeats_sent;
-  }
-  const bool has_changes = hooks_.loads_changed() ||
-                           hooks_.has_new_part_evidence() ||
-                           hooks_.has_new_self_reports();
-  if (now >= next_changes_at_ && has_changes) {
-    next_changes_at_ = now + kChangeInterval;
-    SendChanges();
+    Send(id, link, message);
   }
 }
 
-void Mesh::SendChanges() {
-  const std::vector<proto::UpstreamLoad> changed_loads = hooks_.loads(false);
-  std::optional<proto::PartEvidence> evidence;
-  if (hooks_.has_new_part_evidence()) {
-    evidence = hooks_.part_evidence(false);
-  }
-  proto::FleetBeat reports;
-  hooks_.add_self_reports(false, &reports);
-  for (auto& [name, peer] : peers_) {
-    proto::Envelope message = MakeHeartbeat(peer, false);
-    for (const proto::UpstreamLoad& load : changed_loads) {
-      *message.mutable_fleet_beat()->add_loads() = load;
-    }
-    if (evidence) {
-      *message.mutable_fleet_beat()->mutable_part_evidence() = *evidence;
-    }
-    *message.mutable_fleet_beat()->mutable_self_reports() =
-        reports.self_reports();
-    hooks_.send(name, message);
-  }
+Millis Mesh::NewsInterval() const {
+  return std::clamp(kNewsIntervalPerLink * static_cast<int64_t>(links_.size()),
+                    kMinNewsInterval, kMaxNewsInterval);
 }
 
-void Mesh::ExpireSilentPeers() {
+void Mesh::SendNews() {
   const Millis now = clock_.Now();
-  std::vector<HostId> forgotten;
-  for (auto& [name, peer] : peers_) {
-    const Millis silent =
-        now - (peer.heard ? peer.last_heard_at : peer.added_at);
-    if (peer.up && silent > kPeerTimeout) {
-      peer.up = false;
-      peer.reading = false;
-      Emit(Event::kPeerDown, {{"peer", name.value()},
-                              {"silent_ms", absl::StrCat(silent.count())}});
-      hooks_.on_peer_down(name);
-    }
-    if (silent > kForgetAfter) {
-      forgotten.push_back(name);
-    }
+  if (now < next_news_at_) {
+    return;
   }
-  for (const HostId& name : forgotten) {
-    peers_.erase(name);
-    hooks_.disconnect(name);
+  News news;
+  news.view =
+      is_delegate_ && now >= next_view_at_ && roster_.OwnView() != sent_view_;
+  if (!hooks_.loads_changed() && !hooks_.has_new_part_evidence() &&
+      !hooks_.has_new_self_reports() && !news.view) {
+    return;
+  }
+  next_news_at_ = now + NewsInterval();
+  if (news.view) {
+    next_view_at_ = now + kViewInterval;
+    sent_view_ = roster_.OwnView();
+  }
+  hooks_.start_load_round();
+  if (hooks_.has_new_part_evidence()) {
+    news.evidence = hooks_.part_evidence(false);
+  }
+  hooks_.add_self_reports(false, &news.self_reports);
+  for (auto& [id, link] : links_) {
+    proto::Envelope message = MakeHeartbeat(link);
+    message.mutable_fleet_beat()->set_follows(followed_ == id);
+    if (AddNews(id, link, news, message.mutable_fleet_beat())) {
+      Send(id, link, message);
+    }
   }
 }
 
-void Mesh::BroadcastUpdate(Topic topic, Update update) {
-  const TopicReplica& replica = hooks_.replica(topic);
-  if (!update.snapshot) {
-    // The records between the last change and this update changed nothing.
-    update.from = std::min(update.from, changes_end_[IndexOf(topic)]);
-  }
-  for (const store::Record& record : update.records) {
-    MarkChange(topic, record.offset);
-  }
-  proto::TopicUpdate encoded;
-  EncodeUpdate(update, topic, replica.VerificationAge(clock_.Now()), &encoded);
-  // Heartbeats without records tell peers what they lack.
-  const bool announce =
-      update.snapshot ||
-      encoded.ByteSizeLong() * peers_.size() > kMaxBroadcastBytes;
-  for (auto& [name, peer] : peers_) {
-    proto::Envelope message = MakeHeartbeat(peer, false);
-    if (!announce) {
+void Mesh::SendUpdate(
+    Topic topic,
+    const Update& update,
+    const std::function<bool(const HostId&, const Link&)>& is_receiver) {
+  const auto receivers = static_cast<size_t>(std::count_if(
+      links_.begin(), links_.end(),
+      [&](const auto& item) { return is_receiver(item.first, item.second); }));
+  const std::optional<proto::TopicUpdate> change =
+      records_.EncodeChange(topic, update, receivers);
+  for (auto& [id, link] : links_) {
+    if (!is_receiver(id, link)) {
+      continue;
+    }
+    proto::Envelope message = MakeHeartbeat(link);
+    message.mutable_fleet_beat()->set_follows(followed_ == id);
+    // Heartbeats without records tell peers what they lack.
+    if (change) {
       message.mutable_fleet_beat()->clear_updates();
-      *message.mutable_fleet_beat()->add_updates() = encoded;
+      *message.mutable_fleet_beat()->add_updates() = *change;
     }
-    hooks_.send(name, message);
+    Send(id, link, message);
   }
 }
 
-void Mesh::MarkChange(Topic topic, int64_t offset) {
-  int64_t& end = changes_end_[IndexOf(topic)];
-  end = std::max(end, offset + 1);
-}
-
-size_t Mesh::DaemonCount() const {
-  return 1 + static_cast<size_t>(std::count_if(
-                 peers_.begin(), peers_.end(),
-                 [](const auto& item) { return item.second.up; }));
+void Mesh::BroadcastUpdate(Topic topic, Update update) {
+  SendUpdate(topic, records_.ExtendToLastChange(topic, std::move(update)),
+             [](const HostId&, const Link&) { return true; });
+}
+
+void Mesh::RelayUpdate(const HostId& from, Topic topic, const Update& update) {
+  // A delegate has sent the update to all other delegates. Any other daemon has
+  // sent it to its own delegates only.
+  const auto sender = links_.find(from);
+  const bool from_delegate =
+      sender == links_.end() || sender->second.is_delegate;
+  SendUpdate(topic, update, [&](const HostId& id, const Link& link) {
+    return id != from &&
+           (!from_delegate || (link.follower && IsReporting(link)));
+  });
 }
 
-size_t Mesh::RankFor(std::string_view key) const {
-  const uint64_t own_weight = RendezvousWeight(key, self_.id.value());
-  return static_cast<size_t>(
-      std::count_if(peers_.begin(), peers_.end(), [&](const auto& item) {
-        return item.second.up &&
-               RendezvousWeight(key, item.first.value()) > own_weight;
-      }));
+bool Mesh::HearsReader() const {
+  return hooks_.is_reader() ||
+         std::any_of(links_.begin(), links_.end(), [this](const auto& item) {
+           return item.second.reading && item.second.is_delegate &&
+                  roster_.IsInContact(item.first);
+         });
 }
 
 bool Mesh::IsStoreSlow() const {
-  return std::any_of(peers_.begin(), peers_.end(), [](const auto& item) {
-    return item.second.up && item.second.reading && item.second.store_slow;
+  if (hooks_.is_reader()) {
+    return hooks_.store_slow();
+  }
+  return std::any_of(links_.begin(), links_.end(), [this](const auto& item) {
+    const bool trusted = item.second.reading || followed_ == item.first;
+    return trusted && item.second.store_slow && roster_.IsInContact(item.first);
   });
 }
 
+bool Mesh::IsBehind(Topic topic) const {
+  return records_.IsBehind(
+      topic, is_delegate_ ? kPullPatience : kFollowerPullPatience);
+}
+
 std::vector<store::PeerReaderStatus> Mesh::PeerReaderStatuses() const {
-  std::vector<store::PeerReaderStatus> readings;
-  for (const auto& [name, peer] : peers_) {
-    if (peer.heard) {
-      readings.push_back({name, peer.last_heard_at, peer.reading});
+  std::vector<store::PeerReaderStatus> statuses;
+  for (const auto& [id, link] : links_) {
+    if (!link.is_delegate || !roster_.IsInContact(id)) {
+      continue;
     }
-  }
-  return readings;
+    store::PeerReaderStatus status;
+    status.name = id;
+    status.last_heard_at = link.last_timestamp_at;
+    status.reading = link.reading || (!is_delegate_ && link.hears_reader);
+    status.is_delegate = true;
+    statuses.push_back(std::move(status));
+  }
+  return statuses;
 }
 
 }  // namespace dandelion::membership
--- a/src/membership/mesh.h
+++ b/src/membership/mesh.h
@@ -1,69 +1,114 @@
 #pragma once
 
-#include <array>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "base/clock.h"
 #include "base/ids.h"
-#include "membership/pull_schedule.h"
+#include "membership/record_exchange.h"
+#include "membership/roster.h"
 #include "membership/transport.h"
 #include "store/reader_election.h"
 #include "store/topic.h"
 
 namespace dandelion::membership {
 
-/// A full mesh of daemons that find each other at run time. They forward the
-/// updates that one of them has read in the platform's store, with the age of
-/// the last verification, and tell each other the load that they have on the
-/// upstreams. This serves daemons whose calls the store rejects and daemons
-/// that start during an outage of the store.
+/// The daemons of the fleet, which find each other at run time, and the links
+/// between them.
 ///
-/// Links may delay messages, so the age of a verification is counted from a
-/// timestamp that the receiver itself has sent and the peer echoes.
+/// Each daemon reports to the delegates of its data centre, and delegates also
+/// talk to those of the other data centres. A daemon follows one of its
+/// delegates: it takes the load of all others from it, and changes over to the
+/// other one when that falls silent. What a daemon sends thereby does not grow
+/// with the fleet, and what crosses data centres grows with their number only.
+/// Any daemon can be a delegate; those with the largest hosts are.
+///
+/// Links carry the records that one daemon has read in the platform's store,
+/// with the age of the last verification; loads; and what the daemons know of
+/// upstreams and prompt parts. This serves daemons whose calls the store
+/// rejects and daemons that start during an outage of the store.
 class Mesh {
  public:
-  /// Interval between heartbeats to a peer in a small fleet.
+  /// Interval between heartbeats on a link that has carried nothing else.
   static constexpr base::Millis kHeartbeatInterval{300};
-  /// In a large fleet, the interval is this much times the number of peers.
-  static constexpr base::Millis kHeartbeatIntervalPerPeer{8};
-  /// Minimum time between messages with changed loads or new evidence, so that
-  /// several changes go into one message.
-  static constexpr base::Millis kChangeInterval{60};
-  /// Every this many heartbeats to a peer, one carries all loads and evidence.
-  static constexpr int kHeartbeatsPerFullLoads = 4;
-  /// An update with more bytes than this, for all peers together, is announced
-  /// instead of sent: a small host's link would carry nothing else for seconds.
-  /// Peers pull its records from each other or read them in the store.
-  static constexpr size_t kMaxBroadcastBytes = 1024 * 1024;
-  /// A daemon that lacks records for longer than this reads the store itself,
-  /// whether or not it is the reader.
+  /// How often links are opened and closed as daemons come and go.
+  static constexpr base::Millis kUpdateInterval{100};
+  /// Minimum time between messages with news on all links, so that several
+  /// changes go into one message: `kNewsIntervalPerLink` for each link, within
+  /// these bounds.
+  static constexpr base::Millis kMinNewsInterval{30};
+  static constexpr base::Millis kMaxNewsInterval{100};
+  static constexpr base::Millis kNewsIntervalPerLink{2};
+  /// How often a link carries all loads, views and evidence, which heals what
+  /// lost messages have left different.
+  static constexpr base::Millis kFullInterval{1200};
+  /// A new link carries everything for this long: the transport drops messages
+  /// until it has connected.
+  static constexpr base::Millis kConnectTime{400};
+  /// Minimum time between two views of this data centre.
+  static constexpr base::Millis kViewInterval{300};
+  /// A daemon becomes a delegate this long after it was found to be the next,
+  /// when the others have reported to it.
+  static constexpr base::Millis kWarmUp{1000};
+  /// How often a daemon without a delegate asks seeds for other daemons.
+  static constexpr base::Millis kSeedInterval{1000};
+  /// How often delegates ask seeds, and daemons that have fallen silent, so
+  /// that parts of a fleet that lost each other meet again.
+  static constexpr base::Millis kReunionInterval{5000};
+  /// A daemon that lacks records for longer than this reads the store itself:
+  /// delegates first, then the others.
   static constexpr base::Millis kPullPatience{150};
-  /// A peer that is silent for longer is down; its loads no longer count.
-  static constexpr base::Millis kPeerTimeout{1500};
-  /// A peer that is silent for this long since it was added or last heard from
-  /// is removed.
-  static constexpr base::Millis kForgetAfter{30'000};
+  static constexpr base::Millis kFollowerPullPatience{300};
+  /// A follower that has heard no delegate for longer knows nothing of the
+  /// others' loads any more.
+  static constexpr base::Millis kFleetLoadLifetime{4000};
+  /// If no `Tick` came for longer than this, the process was suspended or busy,
+  /// and the silence of others says nothing.
+  static constexpr base::Millis kMaxTickGap{400};
 
   struct Hooks {
     std::function<void(const base::HostId&, const proto::Envelope&)> send;
     std::function<void(const PeerAddress&)> connect;
     std::function<void(const base::HostId&)> disconnect;
     std::function<const store::TopicReplica&(store::Topic)> replica;
-    /// A peer sent an update that was complete at `verified_at`.
-    std::function<
-        void(store::Topic, const store::Update&, base::Millis verified_at)>
+    /// A peer sent an update that was complete at `verified_at`. Returns the
+    /// records that changed something.
+    std::function<std::vector<store::Record>(store::Topic,
+                                             const store::Update&,
+                                             base::Millis verified_at)>
         on_update;
-    /// Returns this daemon's loads: all, or only those that changed since the
-    /// last call.
-    std::function<std::vector<proto::UpstreamLoad>(bool all)> loads;
+    /// Starts a round: until the next one, `add_loads` without `all` adds the
+    /// loads that have changed between the last round and this one.
+    std::function<void()> start_load_round;
     std::function<bool()> loads_changed;
-    /// Called with every heartbeat of a peer, with or without loads.
-    std::function<void(const base::HostId&, const proto::FleetBeat&)> on_loads;
+    /// Adds loads of a scope, for `receiver`, to a heartbeat.
+    std::function<void(proto::LoadScope,
+                       const base::HostId& receiver,
+                       bool all,
+                       proto::FleetBeat*)>
+        add_loads;
+    /// Loads of a daemon of this data centre, of another data centre, and of
+    /// all other daemons as the followed delegate knows them.
+    std::function<void(const base::HostId&, const proto::FleetBeat&)>
+        on_member_loads;
+    std::function<void(const base::DataCentreId&, const proto::FleetBeat&)>
+        on_data_centre_loads;
+    std::function<void(const proto::FleetBeat&)> on_fleet_loads;
+    /// The loads of a daemon, a data centre, or all other daemons count no
+    /// more.
+    std::function<void(const base::HostId&)> on_member_down;
+    std::function<void(const base::DataCentreId&)> on_data_centre_down;
+    std::function<void()> on_fleet_loads_lost;
+    /// Whether this daemon goes by the loads of a delegate from now on, or by
+    /// its own sums.
+    std::function<void(bool)> on_following;
     /// Returns what this daemon knows of parts that crash engines: all, or only
     /// what is new since the last call.
     std::function<proto::PartEvidence(bool all)> part_evidence;
@@ -75,133 +120,190 @@
     std::function<void(bool all, proto::FleetBeat*)> add_self_reports;
     std::function<bool()> has_new_self_reports;
     std::function<void(const proto::FleetBeat&)> on_self_reports;
-    std::function<void(const base::HostId&)> on_peer_down;
     /// Whether this daemon reads the store.
     std::function<bool()> is_reader;
     /// Whether the store answers this daemon late.
     std::function<bool()> store_slow;
   };
 
-  Mesh(PeerAddress self,
-       base::DataCentreId data_centre,
+  /// Answers to pulls may take `answer_bytes_per_second` of the host's link.
+  Mesh(DaemonInfo self,
        base::Clock clock,
+       int64_t answer_bytes_per_second,
        Hooks hooks);
 
-  /// Connects to a daemon unless it is known under this address already.
-  void AddPeer(const PeerAddress& peer);
-  /// Connects to an address at which a daemon may run whose name is not known.
+  /// Adds a daemon of which the address is known.
+  void AddDaemon(const DaemonInfo& daemon);
+  /// Adds an address at which a daemon may run whose name is not known.
   void AddSeed(const std::string& address);
   void OnMessage(const base::HostId& from, const proto::Envelope& message);
-  /// Sends due messages and expires silent peers. Must be called every few tens
-  /// of milliseconds.
+  /// Sends due messages, and changes links when daemons have come or gone. Must
+  /// be called every few tens of milliseconds.
   void Tick();
-  /// Sends an update that this daemon has read in the store to all peers, or
-  /// only announces it if it is a snapshot or exceeds `kMaxBroadcastBytes`.
-  /// Records that change nothing may be missing from `update`.
+  /// Sends an update that this daemon has read in the store over all links, or
+  /// only announces it if it is large. Records that change nothing may be
+  /// missing from `update`.
   void BroadcastUpdate(store::Topic topic, store::Update update);
-  /// Marks the record at `offset`, received from a peer, as a change, so that
-  /// peers that lack it pull it. `BroadcastUpdate` does this for the records it
-  /// sends.
-  void MarkChange(store::Topic topic, int64_t offset);
+  /// Marks the record at `offset` as a change, so that peers that lack it pull
+  /// it. `BroadcastUpdate` does this for its records, and records that come
+  /// from peers need it not.
+  void MarkChange(store::Topic topic, int64_t offset) {
+    records_.MarkChange(topic, offset);
+  }
   /// Makes all further heartbeats tell that this daemon takes no new requests.
-  void SetDraining() { draining_ = true; }
+  void SetDraining();
 
+  /// Whether any other daemon has been heard.
+  bool HasContact() const { return has_contact_; }
+  /// Whether this daemon is a delegate of its data centre.
+  bool IsDelegate() const { return is_delegate_; }
+  /// Whether this daemon is a delegate or will be one after `kWarmUp`.
+  bool IsDelegateCandidate() const { return candidate_since_.has_value(); }
   /// Counts the daemons that are up, including this one.
-  size_t DaemonCount() const;
+  size_t DaemonCount() const { return roster_.DaemonCount(); }
   /// This daemon's rank by rendezvous hashing for `key` among the daemons that
   /// are up, from 0.
-  size_t RankFor(std::string_view key) const;
-  /// The reader status of all peers that have ever sent a message.
+  size_t RankFor(std::string_view key) const { return roster_.RankFor(key); }
+  /// The reader status of the delegates that this daemon is in contact with.
   std::vector<store::PeerReaderStatus> PeerReaderStatuses() const;
-  /// Whether a peer that reads the store reports late answers.
+  /// Whether a reader of the store is known to get late answers.
   bool IsStoreSlow() const;
   /// Whether peers have had records of `topic` that this daemon lacks for
-  /// longer than `kPullPatience`.
+  /// longer than it may wait for them.
   bool IsBehind(store::Topic topic) const;
 
  private:
-  struct Peer {
-    PeerAddress address;
-    base::Millis added_at;
-    base::Millis last_heard_at;
-    /// Whether any message has arrived from the peer.
-    bool heard = false;
-    bool up = false;
-    /// Whether its last message told of records that this daemon lacks.
-    bool ahead = false;
+  /// A daemon to which this one sends.
+  struct Link {
+    base::Millis opened_at;
+    /// Since when this daemon has taken the peer for a delegate.
+    std::optional<base::Millis> chosen_at;
+    /// Until when this daemon asks a peer that was silent to answer.
+    std::optional<base::Millis> probed_until;
+    /// When the peer last said that it takes this daemon for a delegate.
+    std::optional<base::Millis> reported_at;
+    bool follower = false;
+    /// What the peer last said of itself.
+    bool is_delegate = false;
     bool reading = false;
     bool store_slow = false;
+    bool hears_reader = false;
     base::Millis next_heartbeat_at;
-    int heartbeats_sent = 0;
+    base::Millis next_full_at;
     /// The peer's last timestamp, to be echoed, and the time of its arrival.
     int64_t last_timestamp = 0;
     base::Millis last_timestamp_at;
   };
-  /// What peers are known to have of a topic.
-  struct PeerProgress {
-    /// The highest offset up to which a peer is complete.
-    int64_t end = 0;
-    /// Since when this daemon has lacked records before `end`; empty if it
-    /// lacks none.
-    std::optional<base::Millis> behind_since;
+
+  /// What changed since the last message with news.
+  struct News {
+    std::optional<proto::PartEvidence> evidence;
+    proto::FleetBeat self_reports;
+    /// The daemons of this data centre that are up.
+    bool view = false;
   };
 
-  /// Returns the current time as a timestamp for peers to echo.
-  int64_t MakeTimestamp() const;
-  /// Returns when this process made an echoed timestamp. Empty for one that an
-  /// earlier process made, possibly on a clock that has been reset since.
-  std::optional<base::Millis> ResolveTimestamp(int64_t timestamp) const;
-  /// Makes a heartbeat without loads. `all_loads` tells the peer that the loads
-  /// that the caller adds are complete.
-  proto::Envelope MakeHeartbeat(const Peer& peer, bool all_loads);
   void OnHeartbeat(const base::HostId& from, const proto::FleetBeat& heartbeat);
-  /// Answers with the records that the peer lacks and the addresses of the
-  /// peers that are up.
+  /// Answers with the records that the peer lacks or, if it asks for none, with
+  /// the daemons that are known.
   void OnPull(const base::HostId& from, const proto::FleetPull& pull);
-  void OnPeers(const proto::FleetPeers& peers);
-  void ApplyUpdates(const base::HostId& from,
-                    Peer& peer,
-                    const proto::FleetBeat& heartbeat);
-  /// Asks a peer for the missing records, or with `complete` for snapshots of
-  /// all topics. Does nothing while the answer of another pull is awaited.
-  void PullRecords(const base::HostId& from, bool complete);
-  /// Asks one of the peers that are ahead, after another has turned this daemon
-  /// away.
-  void PullFromAnother();
-  /// Asks a seed for the addresses of the daemons that are up.
-  void PullPeers(const base::HostId& seed);
-  /// Adds the records that a peer lacks to an answer to its pull, unless the
-  /// budget for answers is spent.
-  void AddMissingRecords(const proto::FleetPull& pull,
-                         proto::FleetBeat* heartbeat);
-  /// Records that peers have the records of `topic` before `end`.
-  void RecordProgress(store::Topic topic, int64_t end);
-  void SendHeartbeat(const base::HostId& to, Peer& peer, bool all_loads);
-  /// Sends changed loads and new evidence to all peers.
-  void SendChanges();
-  /// Marks silent peers as down and removes those silent for `kForgetAfter`.
-  void ExpireSilentPeers();
-  /// Adds the sender of a message as a peer if needed and marks it as up. It
-  /// replaces a seed of the same address.
-  Peer& RecordPeerContact(const base::HostId& from, const std::string& address);
+  /// Answers the pulls that wait, as far as the budget for answers allows.
+  void AnswerPulls();
+  void OnPeers(const base::HostId& from, const proto::FleetPeers& peers);
+  void ApplyLoads(const base::HostId& from, const proto::FleetBeat& heartbeat);
+  /// Takes views of its own data centre from any delegate, and of the others
+  /// from the followed one.
+  void ApplyViews(const base::HostId& from, const proto::FleetBeat& heartbeat);
+  /// Passes records on that came from a peer.
+  void RelayUpdate(const base::HostId& from,
+                   store::Topic topic,
+                   const store::Update& update);
+  void SendUpdate(
+      store::Topic topic,
+      const store::Update& update,
+      const std::function<bool(const base::HostId&, const Link&)>& is_receiver);
+
+  /// Returns the link to a known daemon, and opens it if there is none.
+  Link& OpenLink(const base::HostId& id);
+  /// Whether the peer still takes this daemon for a delegate.
+  bool IsReporting(const Link& link) const;
+  bool IsProbed(const Link& link) const;
+  bool IsLocal(const base::HostId& id) const;
+  void UpdateLinks();
+  void ChooseDelegates();
+  void PassOverSilentDelegates();
+  void ChooseFollowed();
+  void ChoosePrimaries();
+  void CloseUnusedLinks();
+  void ReportContacts();
+  void ProbeSilentDaemons();
+
+  /// Whether this daemon or a delegate reads the store.
+  bool HearsReader() const;
+  /// Makes a heartbeat without loads, views and news.
+  proto::Envelope MakeHeartbeat(const Link& link) const;
+  proto::LoadScope ScopeFor(const base::HostId& to, const Link& link) const;
+  bool CarriesLoads(const base::HostId& to, const Link& link) const;
+  void AddViews(const base::HostId& to,
+                const Link& link,
+                proto::FleetBeat* heartbeat) const;
+  void AddEverything(const base::HostId& to,
+                     Link& link,
+                     proto::FleetBeat* heartbeat);
+  /// Returns whether there was any news for the peer.
+  bool AddNews(const base::HostId& to,
+               const Link& link,
+               const News& news,
+               proto::FleetBeat* heartbeat);
+  proto::DataCentreView MakeView(const base::DataCentreId& data_centre,
+                                 const Roster::View& view) const;
+  /// Returns the entry of a known daemon, or of this one.
+  proto::DaemonEntry MakeEntry(const base::HostId& id) const;
+  void Send(const base::HostId& to, Link& link, const proto::Envelope& message);
+  void SendDueHeartbeats();
+  void SendNews();
+  base::Millis NewsInterval() const;
+  void AskSeeds();
+  /// Asks a seed which daemons it knows.
+  void SendHello(const base::HostId& seed);
+  proto::FleetPull MakePull() const;
 
-  PeerAddress self_;
-  base::DataCentreId data_centre_;
   base::Clock clock_;
   Hooks hooks_;
-  std::map<base::HostId, Peer> peers_;
-  /// Per topic, the offset after the last record that changed something. Peers
-  /// that are complete up to it miss no changes.
-  std::array<int64_t, store::kTopicCount> changes_end_{};
-  std::array<PeerProgress, store::kTopicCount> progress_;
-  PullSchedule pulls_;
-  size_t pulls_asked_elsewhere_ = 0;
-  AnswerBudget answer_budget_;
-  base::Millis next_changes_at_;
+  Roster roster_;
+  TimestampSource timestamps_;
+  RecordExchange records_;
+  std::map<base::HostId, Link> links_;
+  std::deque<std::pair<base::HostId, proto::FleetPull>> waiting_pulls_;
+  /// An address at which a daemon may run, linked under a name made from it.
+  struct Seed {
+    PeerAddress peer;
+    bool connected = false;
+  };
+  std::vector<Seed> seeds_;
+  bool is_delegate_ = false;
+  std::optional<base::Millis> candidate_since_;
+  bool has_contact_ = false;
   bool draining_ = false;
-  base::Millis started_at_;
-  /// Random, so that timestamps of earlier processes are told apart.
-  int64_t timestamp_base_;
+  /// The delegate that this daemon goes by; empty if it is one itself or has
+  /// none.
+  std::optional<base::HostId> followed_;
+  /// Whether all loads have arrived from a followed delegate since this daemon
+  /// was one itself, and when the last ones did.
+  bool has_fleet_loads_ = false;
+  base::Millis fleet_loads_at_;
+  /// For each other data centre, the delegate whose loads count.
+  std::map<base::DataCentreId, base::HostId> primaries_;
+  /// The daemons that were in contact at the last update of the links.
+  std::set<base::HostId> contacts_;
+  /// The last view of this data centre that was sent; another is news.
+  std::set<DaemonHash> sent_view_;
+  base::Millis last_tick_at_;
+  base::Millis next_update_at_;
+  base::Millis next_news_at_;
+  base::Millis next_view_at_;
+  base::Millis next_seeds_at_;
+  base::Millis next_probes_at_;
 };
 
 }  // namespace dandelion::membership
--- a/src/membership/pull_schedule.h
+++ b/src/membership/pull_schedule.h
@@ -69,19 +69,28 @@
 class AnswerBudget {
  public:
   /// Under half of a link of 10 Mbit/s; the rest is left to callers.
-  static constexpr int64_t kBytesPerSecond = 512 * 1024;
+  static constexpr int64_t kDefaultBytesPerSecond = 512 * 1024;
+
+  explicit AnswerBudget(int64_t bytes_per_second = kDefaultBytesPerSecond)
+      : bytes_per_second_(std::max<int64_t>(1, bytes_per_second)) {}
 
   /// Whether records may be sent at `now`.
   bool MaySend(base::Millis now) const { return now >= free_at_; }
   /// Counts `bytes` that are sent at `now`, and that may exceed the budget.
   void Spend(size_t bytes, base::Millis now) {
-    constexpr int64_t kMsPerSecond = 1000;
-    free_at_ =
-        std::max(free_at_, now) + base::Millis(static_cast<int64_t>(bytes) *
-                                               kMsPerSecond / kBytesPerSecond);
+    free_at_ = std::max(free_at_, now) +
+               base::Millis(static_cast<int64_t>(bytes) * kMsPerSecond /
+                            bytes_per_second_);
+  }
+  /// The bytes that the budget allows in `time`.
+  size_t BytesIn(base::Millis time) const {
+    return static_cast<size_t>(bytes_per_second_ * time.count() / kMsPerSecond);
   }
 
  private:
+  static constexpr int64_t kMsPerSecond = 1000;
+
+  int64_t bytes_per_second_;
   base::Millis free_at_{0};
 };
 
--- a/src/routing/load_exchange.h
+++ b/src/routing/load_exchange.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include <vector>
-
 #include "base/ids.h"
 #include "proto/peer.pb.h"
 #include "routing/load_tracker.h"
@@ -9,18 +7,41 @@
 
 namespace dandelion::routing {
 
-/// Returns this daemon's own loads for a heartbeat: those of all upstreams on
-/// which it has any if `all` is set, else those that changed since the last
-/// such call. A load that has ended is reported as zero.
-std::vector<proto::UpstreamLoad> CollectOwnLoads(LoadTracker& loads,
-                                                 const UpstreamHealth& health,
-                                                 bool all);
-
-/// Applies a peer's loads and its average times per token. If the heartbeat
-/// lists all loads, they replace every earlier load of that peer.
-void ApplyPeerLoads(const base::HostId& from,
-                    const proto::FleetBeat& heartbeat,
-                    LoadTracker& loads,
-                    UpstreamHealth& health);
+/// Tells other daemons the loads that this one tracks, and applies theirs.
+class LoadExchange {
+ public:
+  LoadExchange(LoadTracker& loads, UpstreamHealth& health)
+      : loads_(loads), health_(health) {}
+
+  /// Starts a round: until the next one, `AddLoads` without `all` adds the
+  /// loads that have changed between the last round and this one.
+  void StartRound() { changes_ = loads_.ExtractChanges(); }
+  bool HasChanges() const { return loads_.HasChanges(); }
+  /// Adds loads for `receiver` to a heartbeat: all that are not zero, or those
+  /// that changed. A load that has ended is told as zero.
+  void AddLoads(proto::LoadScope scope,
+                const base::HostId& receiver,
+                bool all,
+                proto::FleetBeat* heartbeat) const;
+
+  /// Apply loads and times per token. If the heartbeat lists all loads, they
+  /// replace every earlier load of its source.
+  void ApplyMemberLoads(const base::HostId& from,
+                        const proto::FleetBeat& heartbeat);
+  void ApplyDataCentreLoads(const base::DataCentreId& data_centre,
+                            const proto::FleetBeat& heartbeat);
+  void ApplyFleetLoads(const proto::FleetBeat& heartbeat);
+
+ private:
+  Load LoadFor(proto::LoadScope scope,
+               const base::HostId& receiver,
+               const base::UpstreamId& id) const;
+  double TokenMsFor(proto::LoadScope scope, const base::UpstreamId& id) const;
+
+  LoadTracker& loads_;
+  UpstreamHealth& health_;
+  /// Of the current round.
+  LoadTracker::Changes changes_;
+};
 
 }  // namespace dandelion::routing
--- a/src/routing/upstream_health.cc
+++ b/src/routing/upstream_health.cc
@@ -61,6 +61,12 @@
   UpdateAverage(&stats_[id].token_ms, milliseconds);
 }
 
+void UpstreamHealth::RecordMemberTokenTime(const UpstreamId& id,
+                                           double milliseconds) {
+  UpdateAverage(&stats_[id].member_token_ms, milliseconds);
+  RecordPeerTokenTime(id, milliseconds);
+}
+
 void UpstreamHealth::RecordPeerTokenTime(const UpstreamId& id,
                                          double milliseconds) {
   UpdateAverage(&stats_[id].peer_token_ms, milliseconds);
@@ -93,6 +99,15 @@
   return stats ? stats->token_ms : std::nullopt;
 }
 
+std::optional<double> UpstreamHealth::DataCentreTokenMs(
+    const UpstreamId& id) const {
+  const Stats* stats = FindStats(id);
+  if (!stats) {
+    return std::nullopt;
+  }
+  return stats->token_ms ? stats->token_ms : stats->member_token_ms;
+}
+
 std::optional<double> UpstreamHealth::AverageTokenMs(
     const UpstreamId& id) const {
   const Stats* stats = FindStats(id);
--- a/src/routing/upstream_health.h
+++ b/src/routing/upstream_health.h
@@ -51,7 +51,10 @@
   void RecordAnswerTime(const base::UpstreamId& id, base::Millis time);
   /// Records the time that an engine took for one token.
   void RecordTokenTime(const base::UpstreamId& id, double milliseconds);
-  /// Records a peer's average time per token.
+  /// Records the average time per token of another daemon of this data centre.
+  void RecordMemberTokenTime(const base::UpstreamId& id, double milliseconds);
+  /// Records an average time per token of other data centres, or of all other
+  /// daemons.
   void RecordPeerTokenTime(const base::UpstreamId& id, double milliseconds);
   /// Removes all that is known of an upstream, without calling a hook.
   void Forget(const base::UpstreamId& id) { stats_.erase(id); }
@@ -66,6 +69,10 @@
   /// Own average time per token if there is one, else the peers'; nothing if
   /// neither was recorded.
   std::optional<double> AverageTokenMs(const base::UpstreamId& id) const;
+  /// Average time per token of this data centre: the own one if there is one,
+  /// else that of its other daemons; nothing if neither was recorded. What
+  /// other data centres say is left out, so that they are not told it back.
+  std::optional<double> DataCentreTokenMs(const base::UpstreamId& id) const;
   /// Own average time per token; nothing if none was recorded.
   std::optional<double> OwnTokenMs(const base::UpstreamId& id) const;
 
@@ -78,6 +85,8 @@
     std::optional<base::Millis> ejected_until;
     std::optional<double> answer_ms;
     std::optional<double> token_ms;
+    std::optional<double> member_token_ms;
+    /// With that of members.
     std::optional<double> peer_token_ms;
   };
 
--- a/src/store/reader_election.cc
+++ b/src/store/reader_election.cc
@@ -6,12 +6,17 @@
 
 bool ReaderElection::UpdateRole(base::Millis now,
                                 base::Millis verification_age,
-                                const std::vector<PeerReaderStatus>& peers) {
+                                const std::vector<PeerReaderStatus>& peers,
+                                bool is_delegate) {
   int earlier_peers = 0;
   bool earlier_reader = false;
+  bool has_delegate = false;
   for (const PeerReaderStatus& peer : peers) {
     const bool live = now - peer.last_heard_at < kPeerTimeout;
-    const bool earlier = live && peer.name < self_;
+    has_delegate = has_delegate || (live && peer.is_delegate);
+    const bool sorts_before =
+        peer.is_delegate == is_delegate ? peer.name < self_ : peer.is_delegate;
+    const bool earlier = live && sorts_before;
     earlier_peers += earlier ? 1 : 0;
     earlier_reader = earlier_reader || (earlier && peer.reading);
   }
@@ -20,8 +25,10 @@
     return is_reader_;
   }
   const int delaying_peers = std::min(earlier_peers, kMaxDelayingPeers);
-  is_reader_ = verification_age >
-               kVerificationTimeout + kTakeoverDelayPerPeer * delaying_peers;
+  const base::Millis delay_of_others =
+      has_delegate && !is_delegate ? kTakeoverDelayOfOthers : base::Millis(0);
+  is_reader_ = verification_age > kVerificationTimeout + delay_of_others +
+                                      kTakeoverDelayPerPeer * delaying_peers;
   return is_reader_;
 }
 
--- a/src/store/reader_election.h
+++ b/src/store/reader_election.h
@@ -13,6 +13,8 @@
   /// When its last message arrived.
   base::Millis last_heard_at;
   bool reading = false;
+  /// Delegates read before other daemons do.
+  bool is_delegate = false;
 };
 
 /// Elects the daemons that read the store for the fleet. Normally one daemon
@@ -26,6 +28,8 @@
   /// If the last verification is older than this, the reader is taken to have
   /// stopped.
   static constexpr base::Millis kVerificationTimeout{1000};
+  /// A daemon that is no delegate gives delegates this much more time.
+  static constexpr base::Millis kTakeoverDelayOfOthers{1000};
   /// Each live peer whose name sorts before this daemon's delays its takeover
   /// by this much, so that few daemons take over at once.
   static constexpr base::Millis kTakeoverDelayPerPeer{120};
@@ -37,10 +41,11 @@
   /// Decides whether this daemon reads from `now` on. `verification_age` is
   /// the age of this daemon's last verification of the upstreams topic. A
   /// reader stops when a live peer whose name sorts before its own reads too
-  /// and the updates are fresh.
+  /// and the updates are fresh. Delegates sort before other daemons.
   bool UpdateRole(base::Millis now,
                   base::Millis verification_age,
-                  const std::vector<PeerReaderStatus>& peers);
+                  const std::vector<PeerReaderStatus>& peers,
+                  bool is_delegate = false);
 
   /// The result of the last `UpdateRole`.
   bool is_reader() const { return is_reader_; }
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -29,6 +29,9 @@
   std::string name;
   /// "IP:PORT" of the daemon's peer socket.
   std::string address;
+  std::string data_centre;
+  /// Processor of the daemon's host, in thousandths of a core; 0 if unknown.
+  int64_t capacity = 0;
 };
 
 /// The list of daemons in the store, through which daemons find each other.
--- a/test/decisions-test.cc
+++ b/test/decisions-test.cc
@@ -123,15 +123,16 @@
   routing::LoadTracker other;
   routing::UpstreamHealth own_health(no_op_hooks);
   routing::UpstreamHealth other_health(no_op_hooks);
+  routing::LoadExchange own_exchange(own, own_health);
+  routing::LoadExchange other_exchange(other, other_health);
   const base::HostId peer("a");
   const UpstreamId id("u-1");
   const auto send_loads = [&](bool all) {
     proto::FleetBeat heartbeat;
     heartbeat.set_all_loads(all);
-    for (const auto& load : routing::CollectOwnLoads(own, own_health, all)) {
-      *heartbeat.add_loads() = load;
-    }
-    routing::ApplyPeerLoads(peer, heartbeat, other, other_health);
+    own_exchange.StartRound();
+    own_exchange.AddLoads(proto::OWN, base::HostId("b"), all, &heartbeat);
+    other_exchange.ApplyMemberLoads(peer, heartbeat);
   };
   own_health.RecordTokenTime(id, 6.5);
   routing::LoadReservation reservation(own, id, {1, 4000, 3000, 0});
@@ -145,7 +146,7 @@
   send_loads(false);
   CHECK(other.TotalLoad(id) == routing::Load());
   // A heartbeat with all loads corrects what a lost one left out of date.
-  other.SetPeerLoad(peer, id, {3, 9000, 0, 0});
+  other.SetMemberLoad(peer, id, {3, 9000, 0, 0});
   send_loads(true);
   CHECK(other.TotalLoad(id) == routing::Load());
 }
--- a/test/fleet-test.cc
+++ b/test/fleet-test.cc
@@ -2,14 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 
-#include <deque>
-#include <map>
-#include <memory>
-#include <set>
-
-#include "admission/part_exchange.h"
-#include "fleet/fleet_state.h"
-#include "membership/mesh.h"
+#include "mesh-fixture.h"
 #include "store/follower.h"
 #include "store/reader_election.h"
 
@@ -22,163 +15,6 @@
 using store::Topic;
 using store::Update;
 
-/// Daemons on a manual clock that exchange messages in memory.
-class MeshFixture {
- public:
-  struct Daemon {
-    std::unique_ptr<fleet::UpstreamList> upstreams;
-    std::unique_ptr<fleet::FleetState> fleet_state;
-    std::unique_ptr<membership::Mesh> mesh;
-    std::set<HostId> connected;
-    bool reading = false;
-    Millis ahead;
-    std::unique_ptr<admission::PartQuarantine> quarantine;
-  };
-
-  /// Adds a daemon, or replaces the one of that name by a fresh one. Its clock
-  /// is `ahead` of the fixture's.
-  Daemon& AddDaemon(const std::string& name, Millis ahead = Millis(0)) {
-    auto daemon = std::make_unique<Daemon>();
-    Daemon* self = daemon.get();
-    self->ahead = ahead;
-    daemon->upstreams =
-        std::make_unique<fleet::UpstreamList>(fleet::UpstreamList::Hooks{
-            [](const fleet::Upstream&) {},
-            [](const fleet::Upstream&, std::string_view) {},
-            [](const base::UpstreamId&) {}});
-    fleet::FleetState::Hooks fleet_state_hooks;
-    fleet_state_hooks.parse_operator_record = [](const Record&) {
-      return fleet::OperatorRecord();
-    };
-    fleet_state_hooks.parse_upstream_entry = [](const std::string& value) {
-      fleet::UpstreamEntry entry;
-      entry.pool = base::PoolName("pool");
-      // The value is "STATE SEQUENCE"; a new sequence alone changes no entry.
-      entry.leaving = value.starts_with("draining");
-      return absl::StatusOr<fleet::UpstreamEntry>(entry);
-    };
-    fleet_state_hooks.on_catalogue = [](const fleet::CataloguePtr&) {};
-    daemon->fleet_state = std::make_unique<fleet::FleetState>(
-        clock(ahead), *daemon->upstreams, fleet_state_hooks);
-    daemon->quarantine = std::make_unique<admission::PartQuarantine>(
-        HostId(name),
-        admission::PartQuarantine::Hooks{
-            [](const base::PartId&, const base::UpstreamId&) {},
-            [](const base::PartId&, int64_t) {}, [](const base::PartId&) {}});
-    daemon->mesh = std::make_unique<membership::Mesh>(
-        membership::PeerAddress{HostId(name), "10.0.0.1:" + name},
-        base::DataCentreId("dc-a"), clock(ahead),
-        MakeHooks(name, self, clock(ahead)));
-    return *(daemons_[name] = std::move(daemon));
-  }
-
-  /// Makes `daemon` read `update` from the store and forward its changes.
-  void ReadFromStore(Daemon& daemon, const Update& update) {
-    Update forwarded = update;
-    forwarded.records = daemon.fleet_state->ApplyUpdate(Topic::kUpstreams,
-                                                        update, clock().Now());
-    daemon.mesh->BroadcastUpdate(Topic::kUpstreams, forwarded);
-  }
-
-  /// Advances the clock by `time` in steps of 10 ms, with ticks and deliveries.
-  void Advance(Millis time) {
-    const Millis end = now_ + time;
-    while (now_ < end) {
-      now_ = now_ + Millis(10);
-      for (auto& [name, daemon] : daemons_) {
-        daemon->quarantine->Tick(now_ + daemon->ahead);
-        daemon->mesh->Tick();
-      }
-      Deliver();
-    }
-  }
-
-  void Deliver() {
-    while (!messages_.empty()) {
-      Message message = std::move(messages_.front());
-      messages_.pop_front();
-      for (const proto::TopicUpdate& update :
-           message.envelope.fleet_beat().updates()) {
-        records_sent_to[message.to] += update.records_size();
-        records_sent_by[message.from] += update.records_size();
-      }
-      const auto to = daemons_.find(message.to);
-      if (to != daemons_.end()) {
-        to->second->mesh->OnMessage(HostId(message.from), message.envelope);
-      }
-    }
-  }
-
-  Millis Now(const Daemon& daemon) const { return now_ + daemon.ahead; }
-  base::Clock clock(Millis ahead = Millis(0)) {
-    return base::Clock([this, ahead] { return now_ + ahead; });
-  }
-  /// Drops all messages while set.
-  bool disconnected = false;
-  /// Records that were sent between daemons, by receiver and by sender.
-  std::map<std::string, int> records_sent_to;
-  std::map<std::string, int> records_sent_by;
-
- private:
-  struct Message {
-    std::string from;
-    std::string to;
-    proto::Envelope envelope;
-  };
-
-  membership::Mesh::Hooks MakeHooks(const std::string& name,
-                                    Daemon* self,
-                                    const base::Clock& clock) {
-    membership::Mesh::Hooks hooks;
-    hooks.send = [this, name](const HostId& to,
-                              const proto::Envelope& message) {
-      if (!disconnected) {
-        messages_.push_back({name, to.value(), message});
-      }
-    };
-    hooks.connect = [self](const membership::PeerAddress& peer) {
-      self->connected.insert(peer.id);
-    };
-    hooks.disconnect = [self](const HostId& id) { self->connected.erase(id); };
-    hooks.replica = [self](Topic topic) -> const store::TopicReplica& {
-      return self->fleet_state->replica(topic);
-    };
-    hooks.on_update = [self](Topic topic, const Update& update,
-                             Millis verified_at) {
-      for (const Record& record :
-           self->fleet_state->ApplyUpdate(topic, update, verified_at)) {
-        self->mesh->MarkChange(topic, record.offset);
-      }
-    };
-    hooks.loads = [](bool) { return std::vector<proto::UpstreamLoad>(); };
-    hooks.loads_changed = [] { return false; };
-    hooks.on_loads = [](const HostId&, const proto::FleetBeat&) {};
-    hooks.part_evidence = [self, clock](bool all) {
-      return admission::CollectPartEvidence(*self->quarantine, all,
-                                            clock.Now());
-    };
-    hooks.has_new_part_evidence = [self] {
-      return self->quarantine->has_changes();
-    };
-    hooks.on_part_evidence =
-        [self, clock](const HostId& from, const proto::PartEvidence& evidence) {
-          admission::ApplyPartEvidence(from, evidence, clock.Now(),
-                                       *self->quarantine);
-        };
-    hooks.add_self_reports = [](bool, proto::FleetBeat*) {};
-    hooks.has_new_self_reports = [] { return false; };
-    hooks.on_self_reports = [](const proto::FleetBeat&) {};
-    hooks.on_peer_down = [](const HostId&) {};
-    hooks.is_reader = [self] { return self->reading; };
-    hooks.store_slow = [] { return false; };
-    return hooks;
-  }
-
-  Millis now_{10'000};
-  std::map<std::string, std::unique_ptr<Daemon>> daemons_;
-  std::deque<Message> messages_;
-};
-
 Update MakeSnapshot(int64_t end, std::vector<Record> records) {
   Update update;
   update.from = end;
@@ -201,7 +37,7 @@
                                       MeshFixture::Daemon** other) {
   MeshFixture::Daemon& first = fixture.AddDaemon("a");
   *other = &fixture.AddDaemon("b");
-  first.mesh->AddPeer({HostId("b"), "10.0.0.1:b"});
+  first.mesh->AddDaemon(MeshFixture::MakeInfo("b"));
   fixture.Advance(Millis(1000));
   return first;
 }
@@ -218,7 +54,7 @@
   // process may lie before or after the current time.
   const Millis ahead(GENERATE(-8000, 8000));
   MeshFixture::Daemon& restarted = fixture.AddDaemon("b", ahead);
-  restarted.mesh->AddPeer({HostId("a"), "10.0.0.1:a"});
+  restarted.mesh->AddDaemon(MeshFixture::MakeInfo("a"));
   for (Millis elapsed(1010); elapsed < Millis(1600);
        elapsed = elapsed + Millis(10)) {
     fixture.Advance(Millis(10));
@@ -312,7 +148,7 @@
   MeshFixture::Daemon& first = fixture.AddDaemon("a");
   fixture.ReadFromStore(first, MakeSnapshot(1, {{"u-1", "ready 1", false, 0}}));
   MeshFixture::Daemon& late = fixture.AddDaemon("b");
-  late.mesh->AddPeer({HostId("a"), "10.0.0.1:a"});
+  late.mesh->AddDaemon(MeshFixture::MakeInfo("a"));
   fixture.Advance(Millis(1000));
   CHECK(late.upstreams->UsableInPool(base::PoolName("pool")).size() == 1);
 }
@@ -336,8 +172,8 @@
   }
   for (MeshFixture::Daemon* daemon : fleet) {
     for (int i = 0; i < count; ++i) {
-      const std::string name = std::to_string(kFirstName + i);
-      daemon->mesh->AddPeer({HostId(name), "10.0.0.1:" + name});
+      daemon->mesh->AddDaemon(
+          MeshFixture::MakeInfo(std::to_string(kFirstName + i)));
     }
   }
   return fleet;
@@ -473,7 +309,7 @@
 
   // A daemon that starts later, with its clock ahead of the others.
   MeshFixture::Daemon& late = fixture.AddDaemon("c", Millis(50'000'000));
-  late.mesh->AddPeer({HostId("b"), "10.0.0.1:b"});
+  late.mesh->AddDaemon(MeshFixture::MakeInfo("b"));
   fixture.Advance(Millis(300));
   CHECK(rejects(late));
   CHECK_FALSE(late.quarantine->TryTrial(bad, fixture.Now(late)));
--- a/test/load-replay.cc
+++ b/test/load-replay.cc
@@ -82,6 +82,7 @@
   base::HostId name;
   routing::LoadTracker loads;
   routing::UpstreamHealth health;
+  routing::LoadExchange exchange{loads, health};
   routing::SelfReports self_reports;
   relay::Placer placer;
 };
@@ -309,13 +310,11 @@
   for (const auto& from : daemons_) {
     proto::FleetBeat heartbeat;
     heartbeat.set_all_loads(all);
-    for (const auto& load :
-         routing::CollectOwnLoads(from->loads, from->health, all)) {
-      *heartbeat.add_loads() = load;
-    }
+    from->exchange.StartRound();
+    from->exchange.AddLoads(proto::OWN, base::HostId(), all, &heartbeat);
     for (const auto& to : daemons_) {
       if (to != from) {
-        routing::ApplyPeerLoads(from->name, heartbeat, to->loads, to->health);
+        to->exchange.ApplyMemberLoads(from->name, heartbeat);
       }
     }
   }
--- a/test/quarantine-test.cc
+++ b/test/quarantine-test.cc
@@ -375,7 +375,7 @@
   CHECK(daemon.quarantine.CollectEvidence(true, daemon.now).empty());
 }
 
-TEST_CASE("peers hear of a crash once and without times of day",
+TEST_CASE("a crash is passed on once and without times of day",
           "[quarantine]") {
   Daemon daemon;
   daemon.Break(1, Parts({"bad"}));
@@ -392,7 +392,15 @@
   peer.now = Millis(5);
   peer.quarantine.ApplyPeerEvidence(daemon.host, evidence, peer.now);
   CHECK(peer.IsSuspect(Parts({"bad"})));
+  // The peer may be a delegate: it passes the crash on, once.
+  REQUIRE(peer.quarantine.has_changes());
+  const PartEvidence passed_on =
+      peer.quarantine.CollectEvidence(false, peer.now);
+  CHECK(passed_on.crashes.size() == 1);
+  peer.quarantine.ApplyPeerEvidence(daemon.host, evidence, peer.now);
   CHECK_FALSE(peer.quarantine.has_changes());
+  daemon.quarantine.ApplyPeerEvidence(peer.host, passed_on, daemon.now);
+  CHECK_FALSE(daemon.quarantine.has_changes());
 }
 
 }  // namespace
