Count peers' messages by kind and keep unexpected errors to one connection

Cause, of the counters: what the fleet's work for itself consists of could only be guessed.

Cause, of the rest: other operators reported processes that one malformed message or one unexpected error took down. An exception that left a request's handler, or the handling of a peer's message, ended the process here too. Now it ends the connection, or the message is dropped, counted and logged once in ten seconds.

A head that ends in the middle: can't happen here, shown by two tests over the cut points.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -616,7 +616,16 @@
     const absl::Cleanup remove_session = [&self, &session] {
       self->Remove(&session);
     };
-    co_await session.ServeRequests(self->handler_, self->close_after_response_);
+    // An error that nobody expected must end one connection, not the process.
+    try {
+      co_await session.ServeRequests(self->handler_,
+                                     self->close_after_response_);
+    } catch (const std::exception& error) {
+      session.Abort();
+      if (self->hooks_.on_handler_failed) {
+        self->hooks_.on_handler_failed(error.what());
+      }
+    }
   }
 
   base::Executor executor_;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -68,6 +68,8 @@
   std::function<void()> on_rejected;
   /// Accepting began to fail, with the system's error.
   std::function<void(std::string_view reason)> on_accept_failed;
+  /// The handler of a request has thrown; its connection is closed.
+  std::function<void(std::string_view reason)> on_handler_failed;
   /// Accepting works again, `failed_for` after it began to fail.
   std::function<void(base::Millis failed_for)> on_accept_resumed;
 };
--- a/src/kernel/fleet_daemon.cc
+++ b/src/kernel/fleet_daemon.cc
@@ -12,6 +12,7 @@
 #include "http/server.h"
 #include "kernel/connection_limit.h"
 #include "kernel/loop_monitor.h"
+#include "kernel/peer_traffic.h"
 #include "kernel/quarantine_hooks.h"
 #include "kernel/registry.h"
 #include "kernel/serving_telemetry.h"
@@ -89,6 +90,7 @@
         follower_(clock_, adapter_.store, FollowerHooks()),
         health_(HealthHooks()),
         load_exchange_(loads_, health_),
+        peer_traffic_(clock_, metrics_),
         mesh_(SelfInfo(), clock_, AnswerBytesPerSecond(), MeshHooks()),
         quarantine_(settings_.host, MakeQuarantineHooks(metrics_)),
         self_reports_(SelfReportHooks()),
@@ -244,9 +246,7 @@
     absl::StatusOr<std::unique_ptr<membership::ZmqTransport>> transport =
         membership::ZmqTransport::Make(
             executor_, settings_.peer_address, {}, {},
-            [this](const proto::Envelope& message) {
-              mesh_.OnMessage(HostId(message.from()), message);
-            });
+            [this](const proto::Envelope& message) { OnPeerMessage(message); });
     if (!transport.ok()) {
       return transport.status();
     }
@@ -257,6 +257,12 @@
     return absl::OkStatus();
   }
 
+  void OnPeerMessage(const proto::Envelope& message) {
+    const HostId from(message.from());
+    peer_traffic_.Measure([&] { mesh_.OnMessage(from, message); });
+    peer_traffic_.RecordReceived(message, mesh_.IsRemote(from));
+  }
+
   // Enters this daemon in the store's list of daemons and, unless a seed has
   // told of others by then, adds the listed daemons. Retries until both calls
   // have succeeded.
@@ -308,7 +314,8 @@
       if (quarantine_.quarantine_count() > 0) {
         forwarder_.RejectUnsendable();
       }
-      mesh_.Tick();
+      peer_traffic_.Measure([this] { mesh_.Tick(); });
+      peer_traffic_.Tick(mesh_.IsDelegate(), mesh_.link_count());
       upstreams_.Prune(now);
       self_reports_.Prune(
           [this](const UpstreamId& id) {
@@ -554,9 +561,8 @@
   membership::Mesh::Hooks MeshHooks() {
     membership::Mesh::Hooks hooks;
     hooks.send = [this](const HostId& to, const proto::Envelope& message) {
-      proto::Envelope outgoing = message;
-      outgoing.set_from(settings_.host.value());
-      transport_->Send(to, outgoing);
+      const size_t bytes = transport_->Send(to, message);
+      peer_traffic_.RecordSent(message, bytes, mesh_.IsRemote(to));
     };
     hooks.connect = [this](const membership::PeerAddress& peer) {
       transport_->AddPeer(peer);
@@ -711,6 +717,7 @@
   routing::LoadTracker loads_;
   routing::UpstreamHealth health_;
   routing::LoadExchange load_exchange_;
+  PeerTraffic peer_traffic_;
   membership::Mesh mesh_;
   admission::PartQuarantine quarantine_;
   routing::SelfReports self_reports_;
--- a/src/kernel/serving_telemetry.cc
+++ b/src/kernel/serving_telemetry.cc
@@ -41,6 +41,9 @@
     Emit(Event::kAcceptFailed, {{"reason", std::string(reason)},
                                 {"connections", absl::StrCat(connections())}});
   };
+  hooks.on_handler_failed = [](std::string_view reason) {
+    Emit(Event::kHandlerFailed, {{"reason", std::string(reason)}});
+  };
   hooks.on_accept_resumed = [](Millis failed_for) {
     Emit(Event::kAcceptResumed,
          {{"failed_ms", absl::StrCat(failed_for.count())}});
--- a/src/membership/mesh.cc
+++ b/src/membership/mesh.cc
@@ -80,7 +80,7 @@
                 }
               },
               [this](const HostId& to, const proto::FleetPull& pull) {
-                proto::Envelope message;
+                proto::Envelope message = MakeEnvelope();
                 *message.mutable_fleet_pull() = MakePull();
                 message.mutable_fleet_pull()->MergeFrom(pull);
                 hooks_.send(to, message);
@@ -231,7 +231,7 @@
     AnswerPulls();
     return;
   }
-  proto::Envelope answer;
+  proto::Envelope answer = MakeEnvelope();
   proto::FleetPeers& peers = *answer.mutable_fleet_peers();
   *peers.add_daemons() = EncodeEntry(roster_.self());
   for (const DataCentreId& data_centre : roster_.DataCentres()) {
@@ -488,15 +488,21 @@
 }
 
 void Mesh::SendHello(const HostId& seed) {
-  proto::Envelope message;
+  proto::Envelope message = MakeEnvelope();
   *message.mutable_fleet_pull() = MakePull();
   hooks_.send(seed, message);
 }
 
+proto::Envelope Mesh::MakeEnvelope() const {
+  proto::Envelope message;
+  message.set_from(roster_.self().id.value());
+  return message;
+}
+
 proto::Envelope Mesh::MakeHeartbeat(const Link& link) const {
   const Millis now = clock_.Now();
   const DaemonInfo& self = roster_.self();
-  proto::Envelope message;
+  proto::Envelope message = MakeEnvelope();
   proto::FleetBeat* heartbeat = message.mutable_fleet_beat();
   heartbeat->set_data_centre(self.data_centre.value());
   heartbeat->set_address(self.address);
--- a/src/membership/mesh.h
+++ b/src/membership/mesh.h
@@ -159,6 +159,11 @@
   bool IsDelegate() const { return is_delegate_; }
   /// Whether this daemon is a delegate or will be one after `kWarmUp`.
   bool IsDelegateCandidate() const { return candidate_since_.has_value(); }
+  /// Whether a known daemon is in another data centre.
+  bool IsRemote(const base::HostId& id) const {
+    return roster_.Find(id) && !IsLocal(id);
+  }
+  size_t link_count() const { return links_.size(); }
   /// Counts the daemons that are up, including this one.
   size_t DaemonCount() const { return roster_.DaemonCount(); }
   /// This daemon's rank by rendezvous hashing for `key` among the daemons that
@@ -240,6 +245,8 @@
 
   /// Whether this daemon or a delegate reads the store.
   bool HearsReader() const;
+  /// Makes an empty message from this daemon.
+  proto::Envelope MakeEnvelope() const;
   /// Makes a heartbeat without loads, views and news.
   proto::Envelope MakeHeartbeat(const Link& link) const;
   proto::LoadScope ScopeFor(const base::HostId& to, const Link& link) const;
--- a/src/membership/transport.cc
+++ b/src/membership/transport.cc
@@ -12,6 +12,7 @@
 
 #include "absl/cleanup/cleanup.h"
 #include "absl/strings/str_cat.h"
+#include "base/clock.h"
 #include "base/error.h"
 #include "telemetry/events.h"
 
@@ -32,6 +33,9 @@
 constexpr int kProbeIntervalMs = 500;
 constexpr int kProbeTimeoutMs = 1500;
 constexpr size_t kZ85KeyLength = 40;
+// Malformed messages may come in great numbers; one line stands for those of
+// this time.
+constexpr base::Millis kMalformedLogInterval{10'000};
 
 void SetCommonOptions(zmq::socket_t& socket) {
   socket.set(zmq::sockopt::linger, 0);
@@ -108,18 +112,20 @@
     base::Spawn(executor_, Authenticate(shared_from_this()));
   }
 
-  void Send(const base::HostId& to, const proto::Envelope& message) {
+  size_t Send(const base::HostId& to, const proto::Envelope& message) {
     const auto peer = outgoing_.find(to);
     if (peer == outgoing_.end() || closed_) {
-      return;
+      return 0;
     }
     const std::string bytes = message.SerializeAsString();
     const auto sent =
         peer->second.send(zmq::buffer(bytes), zmq::send_flags::dontwait);
-    if (sent) {
-      ++counts_.messages_sent;
-      counts_.bytes_sent += bytes.size();
+    if (!sent) {
+      return 0;
     }
+    ++counts_.messages_sent;
+    counts_.bytes_sent += bytes.size();
+    return bytes.size();
   }
 
   void AddPeer(const PeerAddress& peer) {
@@ -192,12 +198,35 @@
       proto::Envelope message;
       if (message.ParseFromArray(bytes.data(),
                                  static_cast<int>(bytes.size()))) {
-        receiver_(message);
+        Deliver(message, bytes.size());
+      } else {
+        ReportMalformed(bytes.size(), "cannot be parsed");
       }
     }
     return true;
   }
 
+  // A message that the receiver cannot handle must not end the process.
+  void Deliver(const proto::Envelope& message, size_t bytes) {
+    try {
+      receiver_(message);
+    } catch (const std::exception& error) {
+      ReportMalformed(bytes, error.what());
+    }
+  }
+
+  void ReportMalformed(size_t bytes, std::string_view reason) {
+    ++counts_.malformed;
+    const base::Millis now = clock_.Now();
+    if (now >= next_malformed_log_) {
+      next_malformed_log_ = now + kMalformedLogInterval;
+      telemetry::Emit(telemetry::Event::kPeerMessageMalformed,
+                      {{"bytes", absl::StrCat(bytes)},
+                       {"reason", std::string(reason)},
+                       {"count", absl::StrCat(counts_.malformed)}});
+    }
+  }
+
   static Task<void> Authenticate(std::shared_ptr<ZmqTransportImpl> self) {
     while (!self->closed_) {
       self->ReadAuthenticationRequests();
@@ -275,6 +304,8 @@
   std::optional<ReadableWatcher> authenticator_watcher_;
   std::optional<ReadableWatcher> incoming_watcher_;
   TransportCounts counts_;
+  base::Clock clock_ = base::Clock::Monotonic();
+  base::Millis next_malformed_log_;
   bool closed_ = false;
 };
 
@@ -284,8 +315,8 @@
   explicit ZmqTransportHandle(std::shared_ptr<ZmqTransportImpl> impl)
       : impl_(std::move(impl)) {}
   ~ZmqTransportHandle() override { impl_->Close(); }
-  void Send(const base::HostId& to, const proto::Envelope& message) override {
-    impl_->Send(to, message);
+  size_t Send(const base::HostId& to, const proto::Envelope& message) override {
+    return impl_->Send(to, message);
   }
   void AddPeer(const PeerAddress& peer) override { impl_->AddPeer(peer); }
   void RemovePeer(const base::HostId& id) override { impl_->RemovePeer(id); }
--- a/src/membership/transport.h
+++ b/src/membership/transport.h
@@ -20,8 +20,10 @@
 
   virtual ~Transport() = default;
 
-  /// Sends without blocking. Drops messages to unknown hosts.
-  virtual void Send(const base::HostId& to, const proto::Envelope& message) = 0;
+  /// Sends without blocking. Drops messages to unknown hosts. Returns the bytes
+  /// that were sent; 0 for a message that was dropped.
+  virtual size_t Send(const base::HostId& to,
+                      const proto::Envelope& message) = 0;
 };
 
 /// A daemon and the address of its peer socket.
@@ -39,6 +41,8 @@
   uint64_t bytes_received = 0;
   /// Connections without the deployment's key.
   uint64_t rejected = 0;
+  /// Messages that could not be parsed, and were dropped.
+  uint64_t malformed = 0;
 };
 
 /// A transport over ZeroMQ. With CURVE, both ends prove that they hold the
--- a/src/telemetry/metrics.cc
+++ b/src/telemetry/metrics.cc
@@ -78,6 +78,8 @@
                "Connections rejected at their limit"},
     CounterRow{CounterId::kAcceptFailures, "dandelion_accept_failures_total",
                "Times at which accepting connections began to fail"},
+    CounterRow{CounterId::kPeerSeconds, "dandelion_peer_seconds_total",
+               "Seconds spent on messages of peers and links to them"},
 };
 
 // Upper bounds in seconds.
@@ -107,6 +109,14 @@
                        .Name("dandelion_refusals_total")
                        .Help("Refused requests by kind")
                        .Register(registry_);
+    peer_traffic_messages_ = &prometheus::BuildCounter()
+                                  .Name("dandelion_peer_kind_messages_total")
+                                  .Help("Messages of peers by kind")
+                                  .Register(registry_);
+    peer_traffic_bytes_ = &prometheus::BuildCounter()
+                               .Name("dandelion_peer_kind_bytes_total")
+                               .Help("Bytes of peers' messages by kind")
+                               .Register(registry_);
     config_version_ =
         &MakeGauge("dandelion_config_version", "Version in force");
     leased_slots_ = &MakeGauge("dandelion_leased_slots", "Slots held by lease");
@@ -149,6 +159,8 @@
   std::set<std::string> labelled_organisations_;
   std::map<CounterId, prometheus::Counter*> counters_;
   prometheus::Family<prometheus::Counter>* rejections_;
+  prometheus::Family<prometheus::Counter>* peer_traffic_messages_;
+  prometheus::Family<prometheus::Counter>* peer_traffic_bytes_;
   prometheus::Gauge* config_version_;
   prometheus::Gauge* leased_slots_;
   prometheus::Gauge* in_flight_;
@@ -182,6 +194,16 @@
 void Metrics::AddRejection(std::string_view kind) {
   impl_->rejections_->Add({{"kind", std::string(kind)}}).Increment();
 }
+void Metrics::AddPeerTraffic(std::string_view direction,
+                             std::string_view kind,
+                             bool remote,
+                             size_t bytes) {
+  const prometheus::Labels labels = {{"direction", std::string(direction)},
+                                     {"kind", std::string(kind)},
+                                     {"scope", remote ? "remote" : "local"}};
+  impl_->peer_traffic_messages_->Add(labels).Increment();
+  impl_->peer_traffic_bytes_->Add(labels).Increment(static_cast<double>(bytes));
+}
 void Metrics::SetConfigVersion(base::Offset version) {
   impl_->config_version_->Set(static_cast<double>(version.count()));
 }
--- a/src/telemetry/metrics.h
+++ b/src/telemetry/metrics.h
@@ -32,6 +32,7 @@
   kConnectionsAccepted,
   kConnectionsRejected,
   kAcceptFailures,
+  kPeerSeconds,
 };
 
 /// The daemon's metrics.
@@ -52,6 +53,12 @@
   void Add(CounterId counter, double amount = 1);
   /// Counts a rejected request under its error kind.
   void AddRejection(std::string_view kind);
+  /// Counts a message between daemons. `direction` is "sent" or "received";
+  /// `remote` tells that it crosses data centres.
+  void AddPeerTraffic(std::string_view direction,
+                      std::string_view kind,
+                      bool remote,
+                      size_t bytes);
   void SetConfigVersion(base::Offset version);
   void SetLeasedSlots(double slots);
   void SetInFlight(double requests);
--- a/test/server-test.cc
+++ b/test/server-test.cc
@@ -10,6 +10,8 @@
 
 #include <chrono>
 #include <functional>
+#include <stdexcept>
+#include <string>
 #include <vector>
 
 #include "http/server.h"
@@ -22,6 +24,9 @@
 using boost::asio::ip::tcp;
 
 Task<void> Answer(http::Exchange& exchange) {
+  if (exchange.request().target == "/throw") {
+    throw std::runtime_error("unexpected");
+  }
   http::Response response;
   response.body = "answer";
   (void)co_await exchange.Respond(std::move(response));
@@ -188,6 +193,24 @@
   CHECK(fixture.IsClosed(idle));
 }
 
+TEST_CASE("an unexpected error ends one connection, not the process",
+          "[server]") {
+  std::vector<std::string> reasons;
+  http::ServerHooks hooks;
+  hooks.on_handler_failed = [&reasons](std::string_view reason) {
+    reasons.emplace_back(reason);
+  };
+  ServerFixture fixture({}, hooks);
+  tcp::socket other = fixture.Connect();
+  tcp::socket failed = fixture.Connect();
+  boost::asio::write(failed, boost::asio::buffer(std::string(
+                                 "GET /throw HTTP/1.1\r\nHost: h\r\n\r\n")));
+  fixture.RunUntil([&reasons] { return !reasons.empty(); });
+  CHECK(reasons == std::vector<std::string>{"unexpected"});
+  CHECK(fixture.IsClosed(failed));
+  CHECK(fixture.Ask(other).starts_with("HTTP/1.1 200"));
+}
+
 TEST_CASE("an idle connection is closed after the idle timeout", "[server]") {
   http::ServerLimits limits;
   limits.idle_timeout = Millis(20);
--- a/test/transport-test.cc
+++ b/test/transport-test.cc
@@ -3,6 +3,9 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <stdexcept>
+#include <zmq.hpp>
+
 #include "absl/strings/str_cat.h"
 #include "membership/pull_schedule.h"
 #include "membership/transport.h"
@@ -53,6 +56,39 @@
   CHECK(most_in_one_turn <= ZmqTransport::kMaxBatch);
 }
 
+TEST_CASE("messages that cannot be handled are counted and dropped",
+          "[transport]") {
+  boost::asio::io_context context;
+  const std::string address = FreeAddress(context);
+  bool received = false;
+  auto receiver =
+      ZmqTransport::Make(context.get_executor(), address, {}, {},
+                         [&received](const proto::Envelope& message) {
+                           if (message.from() == "faulty") {
+                             throw std::runtime_error("unexpected");
+                           }
+                           received = true;
+                         });
+  REQUIRE(receiver.ok());
+  zmq::context_t zmq_context;
+  zmq::socket_t sender(zmq_context, zmq::socket_type::push);
+  sender.set(zmq::sockopt::linger, 0);
+  sender.connect("tcp://" + address);
+  proto::Envelope message;
+  message.set_from("faulty");
+  const std::string faulty = message.SerializeAsString();
+  message.set_from("sound");
+  const std::string sound = message.SerializeAsString();
+  for (const std::string& bytes :
+       {std::string("\xff\xff\xff"), faulty, sound}) {
+    sender.send(zmq::buffer(bytes), zmq::send_flags::none);
+  }
+  while (!received) {
+    context.run_one();
+  }
+  CHECK((*receiver)->counts().malformed == 2);
+}
+
 TEST_CASE("a daemon that is behind asks all peers at once", "[transport]") {
   membership::PullSchedule pulls;
   const HostId first("a");
--- a/test/upstream-bytes-test.cc
+++ b/test/upstream-bytes-test.cc
@@ -395,6 +395,45 @@
   CHECK((!response.ok() || response->status == 502));
 }
 
+TEST_CASE("a head that ends in the middle is no answer", "[bytes]") {
+  ForwardFixture fixture;
+  const bool generation = GENERATE(false, true);
+  if (generation) {
+    fixture.AddRoute("write", RequestKind::kGeneration).timeout = kLongTime;
+    fixture.Publish();
+  } else {
+    PublishUnsafeRoute(fixture);
+  }
+  const std::string head = RawHead("r-1", kUnframed);
+  // Everything but the last byte of the empty line, the line before it, and
+  // cuts within the first line, a name and a value.
+  const size_t kept = GENERATE_COPY(
+      size_t{1}, size_t{9}, head.find("\r\n"), head.find("\r\n") + 2,
+      head.find(':'), head.find(':') + 3, head.size() - 4, head.size() - 3,
+      head.size() - 2, head.size() - 1);
+  RawAnswer answer{head.substr(0, kept)};
+  answer.reset = GENERATE(false, true);
+  fixture.AddRawUpstream("u-1", "write", std::move(answer));
+  const auto response = fixture.SendRequest(CallerRequestFor("write", "r-1"));
+  REQUIRE(response.ok());
+  CHECK(response->status == 502);
+  CHECK(response->headers.Find("X-Dandeliondyke-Response-Seal").empty());
+}
+
+TEST_CASE("a head that ends in the middle fails a fetch", "[bytes]") {
+  ForwardFixture fixture;
+  const std::string head = RawHead("r-1", kUnframed);
+  const size_t kept = GENERATE_COPY(size_t{9}, head.find("\r\n") + 2,
+                                    head.size() - 2, head.size() - 1);
+  RawUpstream upstream(fixture.executor(), {head.substr(0, kept)});
+  http::Client client;
+  const auto result =
+      RunTask(fixture, client.Fetch(upstream.address(), http::Request(), {}));
+  REQUIRE(result);
+  CHECK_FALSE(result->response.ok());
+  CHECK(result->may_have_been_sent);
+}
+
 TEST_CASE("a stream that ends within an event or never ends it is resumed",
           "[bytes]") {
   ForwardFixture fixture;
