--- a/src/membership/mesh.cc
+++ b/src/membership/mesh.cc
@@ -164,6 +164,8 @@
     hooks_.on_part_evidence(from, heartbeat.part_evidence());
   }
   hooks_.on_self_reports(heartbeat);
+  // Passes news on without waiting for the next tick.
+  SendNews();
 }
 
 void Mesh::ApplyLoads(const HostId& from, const proto::FleetBeat& heartbeat) {
