Back off with jitter while the store is away, and let few daemons that are no delegates try

Change: pauses between failed reads double, up to 0.8 s for a delegate and 3 s for others, shortened at random; daemons that are no delegates take over one after the other. A test of the first spread found one that would have tried only when no longer ready.

--- a/src/kernel/fleet_daemon.cc
+++ b/src/kernel/fleet_daemon.cc
@@ -551,6 +551,7 @@
     hooks.replica = [this](Topic topic) -> const store::TopicReplica& {
       return fleet_state_.replica(topic);
     };
+    hooks.is_delegate = [this] { return mesh_.IsDelegateCandidate(); };
     hooks.on_update = [this](Topic topic, const store::Update& update,
                              Millis verified_at) {
       OnStoreUpdate(topic, update, verified_at);
--- a/src/store/follower.cc
+++ b/src/store/follower.cc
@@ -1,9 +1,11 @@
 #include "store/follower.h"
 
+#include <random>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "base/error.h"
+#include "store/retry_backoff.h"
 #include "telemetry/events.h"
 
 namespace dandelion::store {
@@ -17,6 +19,7 @@
     : clock_(std::move(clock)), store_(store), hooks_(std::move(hooks)) {}
 
 Task<void> Follower::FollowTopic(Topic topic) {
+  RetryBackoff backoff(std::random_device{}());
   for (;;) {
     if (!hooks_.should_read(topic)) {
       co_await base::SleepFor(kIdlePollInterval);
@@ -24,8 +27,13 @@
     }
     const bool read = co_await ReadOnce(topic);
     if (!read) {
-      co_await base::SleepFor(kRetryInterval);
-    } else if (topic == Topic::kUpstreams) {
+      const Millis max_pause =
+          hooks_.is_delegate() ? kMaxRetryPause : kMaxRetryPauseOfOthers;
+      co_await base::SleepFor(backoff.Next(max_pause));
+      continue;
+    }
+    backoff.Reset();
+    if (topic == Topic::kUpstreams) {
       co_await base::SleepFor(kUpstreamsReadInterval);
     }
   }
--- a/src/store/follower.h
+++ b/src/store/follower.h
@@ -22,8 +22,10 @@
   /// times a second; spaced reads return several records at once.
   static constexpr base::Millis kUpstreamsReadInterval{220};
   static constexpr base::Millis kUpstreamsLongPoll{300};
-  /// Pause after a read that failed.
-  static constexpr base::Millis kRetryInterval{400};
+  /// Longest pause between reads that fail, of a delegate and of any other
+  /// daemon: many of them may try while the store is away.
+  static constexpr base::Millis kMaxRetryPause{800};
+  static constexpr base::Millis kMaxRetryPauseOfOthers{3000};
   /// How often a daemon that is not the reader checks whether it became so.
   static constexpr base::Millis kIdlePollInterval{50};
   /// The store counts as slow if an answer takes this much longer than the
@@ -38,6 +40,7 @@
     /// lacks records that peers have.
     std::function<bool(Topic)> should_read;
     std::function<const TopicReplica&(Topic)> replica;
+    std::function<bool()> is_delegate;
     /// Called with the result of every successful read. `verified_at` is the
     /// time at which the read was sent; a partial update does not advance it.
     std::function<void(Topic, const Update&, base::Millis verified_at)>
--- a/src/store/reader_election.cc
+++ b/src/store/reader_election.cc
@@ -4,6 +4,13 @@
 
 namespace dandelion::store {
 
+base::Millis ReaderElection::DelayOfOthers() const {
+  const size_t hash = std::hash<base::HostId>()(self_);
+  const auto spread = static_cast<size_t>(kTakeoverSpreadOfOthers.count());
+  return kTakeoverDelayOfOthers +
+         base::Millis(static_cast<int64_t>(hash % spread));
+}
+
 bool ReaderElection::UpdateRole(base::Millis now,
                                 base::Millis verification_age,
                                 const std::vector<PeerReaderStatus>& peers,
@@ -26,7 +33,7 @@
   }
   const int delaying_peers = std::min(earlier_peers, kMaxDelayingPeers);
   const base::Millis delay_of_others =
-      has_delegate && !is_delegate ? kTakeoverDelayOfOthers : base::Millis(0);
+      has_delegate && !is_delegate ? DelayOfOthers() : base::Millis(0);
   is_reader_ = verification_age > kVerificationTimeout + delay_of_others +
                                       kTakeoverDelayPerPeer * delaying_peers;
   return is_reader_;
--- a/src/store/reader_election.h
+++ b/src/store/reader_election.h
@@ -28,8 +28,11 @@
   /// If the last verification is older than this, the reader is taken to have
   /// stopped.
   static constexpr base::Millis kVerificationTimeout{1000};
-  /// A daemon that is no delegate gives delegates this much more time.
-  static constexpr base::Millis kTakeoverDelayOfOthers{1000};
+  /// A daemon that is no delegate gives delegates this much more time, and up
+  /// to the spread more by a hash of its name: one of them that reaches the
+  /// store is enough.
+  static constexpr base::Millis kTakeoverDelayOfOthers{800};
+  static constexpr base::Millis kTakeoverSpreadOfOthers{1200};
   /// Each live peer whose name sorts before this daemon's delays its takeover
   /// by this much, so that few daemons take over at once.
   static constexpr base::Millis kTakeoverDelayPerPeer{120};
@@ -51,6 +54,8 @@
   bool is_reader() const { return is_reader_; }
 
  private:
+  base::Millis DelayOfOthers() const;
+
   base::HostId self_;
   bool is_reader_ = false;
 };
--- a/test/fleet-test.cc
+++ b/test/fleet-test.cc
@@ -5,6 +5,7 @@
 #include "mesh-fixture.h"
 #include "store/follower.h"
 #include "store/reader_election.h"
+#include "store/retry_backoff.h"
 
 namespace dandelion::test {
 namespace {
@@ -330,6 +331,64 @@
   CHECK_FALSE(second.UpdateRole(now, Millis(300), {{HostId("a"), now, true}}));
 }
 
+TEST_CASE("daemons that are no delegates take over late and one by one",
+          "[reader]") {
+  constexpr int kDaemons = 39;
+  constexpr Millis kLastReady(3500);
+  const std::vector<store::PeerReaderStatus> delegates = {
+      {HostId("d-1"), Millis(10'000), false, true},
+      {HostId("d-2"), Millis(10'000), false, true}};
+  int delegate_readers = 0;
+  int first_readers = 0;
+  int last_readers = 0;
+  for (int i = 0; i < kDaemons; ++i) {
+    store::ReaderElection member{HostId("m-" + std::to_string(i))};
+    CHECK_FALSE(member.UpdateRole(Millis(10'000), Millis(1700), delegates));
+    first_readers +=
+        member.UpdateRole(Millis(10'000), Millis(2300), delegates) ? 1 : 0;
+    last_readers += member.UpdateRole(Millis(10'000), kLastReady, delegates);
+    // They stop for a delegate that reads.
+    std::vector<store::PeerReaderStatus> reading = delegates;
+    reading[0].reading = true;
+    CHECK_FALSE(member.UpdateRole(Millis(10'000), Millis(300), reading));
+  }
+  store::ReaderElection delegate{HostId("d-3")};
+  delegate_readers +=
+      delegate.UpdateRole(Millis(10'000), Millis(1300), delegates, true);
+  CHECK(delegate_readers == 1);
+  CHECK(first_readers < kDaemons / 2);
+  // Without a delegate that reaches the store, all try before they would stop
+  // being ready.
+  CHECK(last_readers == kDaemons);
+}
+
+TEST_CASE("calls to a store that is away become fewer and spread out",
+          "[reader]") {
+  store::RetryBackoff first(1);
+  store::RetryBackoff second(2);
+  const Millis max_pause = store::Follower::kMaxRetryPauseOfOthers;
+  Millis total(0);
+  int calls = 0;
+  int same = 0;
+  for (; total < Millis(20'000); ++calls) {
+    const Millis pause = first.Next(max_pause);
+    CHECK(pause <= max_pause);
+    CHECK(pause >= store::RetryBackoff::kFirstPause - Millis(200));
+    same += pause == second.Next(max_pause) ? 1 : 0;
+    total = total + pause;
+  }
+  // One in 0.4 s would be 50.
+  CHECK(calls <= 15);
+  CHECK(same <= calls / 2);
+  first.Reset();
+  CHECK(first.Next(max_pause) <= store::RetryBackoff::kFirstPause);
+  // A delegate notices the return of the store soon.
+  for (int i = 0; i < 10; ++i) {
+    CHECK(first.Next(store::Follower::kMaxRetryPause) <=
+          store::Follower::kMaxRetryPause);
+  }
+}
+
 /// A store whose calls return an empty update at once, or fail.
 class FailableStore : public store::MetadataStore {
  public:
@@ -361,6 +420,7 @@
   store::TopicReplica replica;
   store::Follower::Hooks hooks;
   hooks.should_read = [](Topic) { return true; };
+  hooks.is_delegate = [] { return true; };
   hooks.replica = [&replica](Topic) -> const store::TopicReplica& {
     return replica;
   };
