Ignore peers that claim this daemon's own address, and one pull of two

A peer that asks again while its pull waits gets one answer. A contact is never in the future after a pause.

--- a/src/membership/mesh.cc
+++ b/src/membership/mesh.cc
@@ -57,8 +57,8 @@
 
 }  // namespace
 
-Mesh::Mesh(DaemonInfo self,
-           base::Clock clock,
+Mesh::Mesh(const DaemonInfo& self,
+           const base::Clock& clock,
            int64_t answer_bytes_per_second,
            Hooks hooks)
     : clock_(clock),
@@ -132,6 +132,9 @@
   if (roster_.Add(sender) && known != links_.end()) {
     hooks_.connect({from, sender.address});
   }
+  if (!roster_.Find(from)) {
+    return;  // It claims this daemon's own address.
+  }
   roster_.RecordContact(from, heartbeat.draining());
   has_contact_ = true;
   const Millis now = clock_.Now();
@@ -227,8 +230,14 @@
   }
   roster_.Add({from, pull.address(), DataCentreId(pull.data_centre()),
                pull.capacity()});
+  if (!roster_.Find(from)) {
+    return;  // It claims this daemon's own address.
+  }
   OpenLink(from).reported_at = clock_.Now();
   if (pull.positions_size() > 0) {
+    // A peer that asks again wants one answer.
+    std::erase_if(waiting_pulls_,
+                  [&from](const auto& item) { return item.first == from; });
     waiting_pulls_.emplace_back(from, pull);
     AnswerPulls();
     return;
--- a/src/membership/mesh.h
+++ b/src/membership/mesh.h
@@ -129,8 +129,8 @@
   };
 
   /// Answers to pulls may take `answer_bytes_per_second` of the host's link.
-  Mesh(DaemonInfo self,
-       base::Clock clock,
+  Mesh(const DaemonInfo& self,
+       const base::Clock& clock,
        int64_t answer_bytes_per_second,
        Hooks hooks);
 
--- a/src/membership/roster.cc
+++ b/src/membership/roster.cc
@@ -117,7 +117,7 @@
 void Roster::ExtendContacts(Millis pause) {
   for (auto& [id, entry] : entries_) {
     if (entry.contact_at) {
-      entry.contact_at = *entry.contact_at + pause;
+      entry.contact_at = std::min(clock_.Now(), *entry.contact_at + pause);
     }
   }
 }
--- a/test/mesh-test.cc
+++ b/test/mesh-test.cc
@@ -317,6 +317,14 @@
   receive("dc0-1");
   message.mutable_fleet_pull()->add_positions(INT64_MIN);
   receive("x");
+  // A stranger with this daemon's address.
+  message.mutable_fleet_pull()->set_address(daemon.info.address);
+  message.mutable_fleet_pull()->set_data_centre("dc0");
+  receive("y");
+  message.mutable_fleet_beat()->set_address(daemon.info.address);
+  message.mutable_fleet_beat()->set_data_centre("dc0");
+  message.mutable_fleet_beat()->set_reports(true);
+  receive("y");
   message.mutable_fleet_peers()->add_daemons();
   receive("dc0-1");
 }
