--- a/test/mesh-test.cc
+++ b/test/mesh-test.cc
@@ -261,7 +261,9 @@
           "[mesh]") {
   Fleet fleet(1, 8);
   fleet.Advance(Millis(4000));
-  Daemon& paused = fleet.Find("dc0-6");
+  const bool is_delegate = GENERATE(false, true);
+  Daemon& paused =
+      is_delegate ? *fleet.Delegates("dc0").at(0) : fleet.Find("dc0-6");
   const UpstreamId id("u-1");
   fleet.Find("dc0-5").loads.Add(id, {3, 300, 0, 0});
   fleet.Advance(Millis(500));
