--- a/review/standin/app.py
+++ b/review/standin/app.py
@@ -27,9 +27,9 @@
             return True
         request_id = headers.get(REQUEST_ID.lower(), "")
         self.arrivals.append((self.record.now(), request_id))
-        return await self.serve(request_id, headers, writer)
+        return await self.serve(request_id, method, headers, writer)
 
-    async def serve(self, request_id, headers, writer):
+    async def serve(self, request_id, method, headers, writer):
         if self._waiting >= self._queue_limit:
             return await self.answer(
                 writer, 503, b"", [(NOT_EXECUTED, "1"),
@@ -44,4 +44,5 @@
         finally:
             self._waiting -= 1
         return await self.answer(writer, 200, b"x" * 800,
-                                 [*self.seal(headers), *self.leaving_headers])
+                                 [*self.seal(headers), *self.leaving_headers],
+                                 method == "HEAD")
--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -113,12 +113,13 @@
         raise NotImplementedError
 
     @staticmethod
-    async def answer(writer, status, body=b"", headers=()):
+    async def answer(writer, status, body=b"", headers=(), to_head=False):
         if isinstance(body, (dict, list)):
             body = json.dumps(body).encode()
         head = [f"HTTP/1.1 {status} -", f"Content-Length: {len(body)}"]
         head += [f"{name}: {value}" for name, value in headers]
-        writer.write("\r\n".join(head).encode("latin-1") + b"\r\n\r\n" + body)
+        writer.write("\r\n".join(head).encode("latin-1") + b"\r\n\r\n" +
+                     (b"" if to_head else body))
         await writer.drain()
         return True
 
@@ -346,6 +347,18 @@
     def return_code(self):
         return self._process.returncode if self._process else None
 
+    def resident_mb(self):
+        """Memory without mapped files, in MB; 0 once the process has ended."""
+        try:
+            with open(f"/proc/{self._process.pid}/status",
+                      encoding="utf-8") as file:
+                for line in file:
+                    if line.startswith("RssAnon:"):
+                        return int(line.split()[1]) / 1024
+        except OSError:
+            pass
+        return 0.0
+
     async def is_ready(self):
         try:
             reader, writer = await asyncio.wait_for(
