--- a/review/4/case.py
+++ b/review/4/case.py
@@ -23,8 +23,6 @@
     engines = [world.add_server(CrashingEngine, "llm", f"i-{number}",
                                 "abc"[number % 3], events=10, gap_s=0.05)
                for number in range(6)]
-    for engine in engines:
-        engine.whole_head = False
     connect(engines)
     await world.start(w.make_config(
         1, [w.make_stream_route("llm")], [w.make_engine_backend("llm")]))
--- a/review/standin/app.py
+++ b/review/standin/app.py
@@ -16,7 +16,6 @@
         self._waiting = 0
         self.arrivals = []
         self.ran = []
-        self.leaving_headers = ()
 
     async def handle(self, method, target, headers, body, writer):
         if target == "/healthz":
@@ -33,8 +32,7 @@
         if self._waiting >= self._queue_limit:
             return await self.answer(
                 writer, 503, b"", [(NOT_EXECUTED, "1"),
-                                   (REQUEST_ID, request_id),
-                                   *self.leaving_headers])
+                                   (REQUEST_ID, request_id)])
         self._waiting += 1
         try:
             async with self._free:
@@ -44,5 +42,4 @@
         finally:
             self._waiting -= 1
         return await self.answer(writer, 200, b"x" * 800,
-                                 [*self.seal(headers), *self.leaving_headers],
-                                 method == "HEAD")
+                                 self.seal(headers), method == "HEAD")
--- a/review/standin/crashing.py
+++ b/review/standin/crashing.py
@@ -15,8 +15,8 @@
 class CrashingEngine(Engine):
     """Crashes when it begins to write an answer to a prompt with BAD_PART."""
 
-    # How much of the answer's head leaves the engine before it crashes.
-    whole_head = True
+    # Bytes of the answer's head that leave the engine before it crashes.
+    HEAD_BYTES = 60
 
     def __init__(self, *args, **options):
         super().__init__(*args, **options)
@@ -42,7 +42,7 @@
                 f"{SEAL}: {self.name}.{request_id}",
                 "Transfer-Encoding: chunked"]
         text = "\r\n".join(head).encode("latin-1") + b"\r\n\r\n"
-        writer.write(text if self.whole_head else text[:60])
+        writer.write(text[:self.HEAD_BYTES])
         await asyncio.sleep(0.005)
         await self._crash()
         return False
--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import base64
-import collections
 import itertools
 import json
 import os
@@ -29,6 +28,7 @@
 EXIT_HELD = 0
 EXIT_BROKEN = 1
 EXIT_NOT_RUN = 2
+CASE_TIMEOUT_S = 110
 
 
 class CannotRun(Exception):
@@ -132,13 +132,9 @@
         self._record = record
         self._topics = {}
         self._wake = asyncio.Event()
-        # Reads that wait for a record, by topic.
-        self.waiting_reads = collections.Counter()
-        # Reads hear nothing while this is set, as when the store compacts.
-        self.mute_reads = False
 
     def _topic(self, name):
-        return self._topics.setdefault(name, {"first": 0, "items": []})
+        return self._topics.setdefault(name, {"items": []})
 
     def put(self, topic, key, value):
         text = json.dumps(value) if value is not None else ""
@@ -151,12 +147,6 @@
         self._wake = asyncio.Event()
         return len(items) - 1
 
-    def forget_history(self):
-        """Drops all records; the newest of each key is retained."""
-        for name, topic in self._topics.items():
-            topic["first"] = len(topic["items"])
-            self._record.line(f"store forgot the history of {name}")
-
     @staticmethod
     def _query(target):
         path, _, query = target.partition("?")
@@ -194,27 +184,14 @@
     async def _read(self, topic, query, writer):
         start = int(query["from"])
         until = time.monotonic() + int(query.get("wait-ms", "0")) / 1000
-        self.waiting_reads[query["topic"]] += 1
-        try:
-            while (self.mute_reads or start >= len(topic["items"])) and (
-                    time.monotonic() < until):
-                if start < topic["first"] and not self.mute_reads:
-                    break
-                wake = self._wake
-                try:
-                    await asyncio.wait_for(
-                        wake.wait(), min(0.05, max(0.001, until -
-                                                   time.monotonic())))
-                except asyncio.TimeoutError:
-                    pass
-        finally:
-            self.waiting_reads[query["topic"]] -= 1
-        if start < topic["first"] and not self.mute_reads:
-            return await self.answer(writer, 410, {"first": topic["first"]})
-        items = [] if self.mute_reads else topic["items"][start:]
-        end = start if self.mute_reads else len(topic["items"])
-        out = end.to_bytes(8, "big") + topic["first"].to_bytes(8, "big")
-        for key, value in items:
+        while start >= len(topic["items"]) and time.monotonic() < until:
+            try:
+                await asyncio.wait_for(self._wake.wait(),
+                                       until - time.monotonic())
+            except asyncio.TimeoutError:
+                pass
+        out = len(topic["items"]).to_bytes(8, "big") + bytes(8)
+        for key, value in topic["items"][start:]:
             out += (1 + len(key) + len(value)).to_bytes(4, "big")
             out += bytes([len(key)]) + key + value
         return await self.answer(writer, 200, out)
@@ -589,16 +566,20 @@
 
     async def main():
         world = World(folder)
+        running = asyncio.ensure_future(case(world, trouble))
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number,
+                                                          running.cancel)
         try:
-            broken = await asyncio.wait_for(case(world, trouble), 110)
+            broken = await asyncio.wait_for(running, CASE_TIMEOUT_S)
             verdict = EXIT_BROKEN if broken else EXIT_HELD
             world.record.line("the rule was broken" if broken
                               else "the rule held")
         except CannotRun as error:
             world.record.line(f"the case could not run: {error}")
             verdict = EXIT_NOT_RUN
-        except asyncio.TimeoutError:
-            world.record.line("the case could not run: it took too long")
+        except (asyncio.TimeoutError, asyncio.CancelledError):
+            world.record.line("the case could not run: it was ended")
             verdict = EXIT_NOT_RUN
         finally:
             await world.stop()
