Do not take the end of a stream that its migration stopped for a complete one

Cause: kv-move with `last` stops the generation and closes its stream. FinishStream took the end of a connection between two events for the end of the answer, without asking whether this daemon had ordered it.

Change: ActiveGeneration::may_be_stopped holds from the order until the engine answers 404 or 409, or the generation goes on elsewhere. An unframed stream that ends meanwhile waits for the copy's result and continues from it. final_copy_running alone would miss a result that comes before the stream's end, and one that never comes. Framed streams are not affected.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -132,6 +132,10 @@
     co_return std::string_view();
   }
 
+  bool BodyEndsWithConnection() const override {
+    return parser_->is_header_done() && parser_->need_eof();
+  }
+
   bool MayHaveBeenSent() const override { return may_have_been_sent_; }
 
   bool IsReusable() const override {
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -35,6 +35,9 @@
   /// `timeout`.
   virtual base::Task<absl::StatusOr<std::string_view>> ReadSome(
       base::Millis timeout) = 0;
+  /// Whether the body of the response has neither a length nor chunks, so that
+  /// it ends with the connection.
+  virtual bool BodyEndsWithConnection() const = 0;
   /// Whether any byte of the request may have reached the server.
   virtual bool MayHaveBeenSent() const = 0;
   /// Whether a complete response was read and the connection may carry another
--- a/src/migration/active_generation.h
+++ b/src/migration/active_generation.h
@@ -53,6 +53,10 @@
   /// Whether the final copy is under way. The engine stops the generation for
   /// it and closes the stream.
   bool final_copy_running = false;
+  /// Whether the engine may have stopped the generation for a final copy, also
+  /// if the result of that copy is not known. The end of a stream without
+  /// framing then does not show that the stream is complete.
+  bool may_be_stopped = false;
   /// The migration target and the KV cache copy there. The copy's handle is
   /// empty until the first copy was made.
   std::optional<PlacedCopy> copy;
--- a/src/migration/migrator.cc
+++ b/src/migration/migrator.cc
@@ -44,6 +44,13 @@
   return "unknown";
 }
 
+// Whether an engine that answered a final copy so has not stopped the
+// generation for it.
+bool DidNotStop(KvCacheCopyOutcome outcome) {
+  return outcome == KvCacheCopyOutcome::kNoGeneration ||
+         outcome == KvCacheCopyOutcome::kBusy;
+}
+
 // The engine that runs `generation`, without a reservation: a generation that
 // continues there needs no additional capacity.
 Place SourceOf(const ActiveGeneration& generation) {
@@ -180,6 +187,8 @@
 
 Task<void> Migrator::StopAndCopy(GenerationPtr generation) {
   generation->final_copy_running = true;
+  // An earlier final copy without a known result may have stopped it.
+  const bool was_stopped = std::exchange(generation->may_be_stopped, true);
   const absl::Cleanup end_final_copy = [generation] {
     generation->final_copy_running = false;
     generation->final_copy_ended.cancel();
@@ -204,6 +213,9 @@
   if (generation->ended || !generation->copy || switched) {
     co_return;
   }
+  if (DidNotStop(result.outcome)) {
+    generation->may_be_stopped = was_stopped;
+  }
   if (!result.handle.empty()) {
     generation->copy->cache = {source_address, result.handle};
   }
--- a/src/relay/stream_forward.cc
+++ b/src/relay/stream_forward.cc
@@ -48,6 +48,8 @@
   int64_t events = 0;
   // The engine kept running after it began to answer.
   bool sound = false;
+  // The stream has ended and the result of the final copy was waited for.
+  bool awaited_final_copy = false;
 };
 
 // Whether a send that ended so certainly did not start the generation.
@@ -173,6 +175,7 @@
       resume_after_ = generation_->last_event;
     }
     generation_->has_events = false;
+    generation_->may_be_stopped = false;
     splitter_.Reset();
   }
 
@@ -193,13 +196,19 @@
     return DidNotRun(end) ? std::move(copy) : std::nullopt;
   }
 
-  // Switches to a KV cache copy, if there is one. Waits for the result of a
-  // final copy that is under way. Returns false if there is no copy.
-  Task<bool> SwitchToCopy(SendOutcome end) {
-    if (generation_->final_copy_running) {
+  // Waits once for the result of a final copy that is under way.
+  Task<void> AwaitFinalCopy() {
+    if (generation_->final_copy_running && !progress_.awaited_final_copy) {
+      progress_.awaited_final_copy = true;
       co_await base::SleepOnTimer(generation_->final_copy_ended,
                                   kFinalCopyTimeout);
     }
+  }
+
+  // Switches to a KV cache copy, if there is one. Waits for the result of a
+  // final copy that is under way. Returns false if there is no copy.
+  Task<bool> SwitchToCopy(SendOutcome end) {
+    co_await AwaitFinalCopy();
     std::optional<migration::PlacedCopy> taken = TakeCopy(end);
     if (!taken) {
       co_return false;
@@ -384,11 +393,18 @@
     co_return co_await call_->exchange.StartStream(std::move(head));
   }
 
-  // Ends the caller's answer, unless the stream ended within an event.
+  // Ends the caller's answer, unless the stream ended within an event or
+  // because the engine was told to stop the generation.
   Task<SendOutcome> FinishStream(UpstreamReply& reply) {
     if (!splitter_.incomplete().empty()) {
       co_return StreamBroke("the stream ended in the middle of an event");
     }
+    if (reply.connection->BodyEndsWithConnection()) {
+      co_await AwaitFinalCopy();
+      if (generation_->may_be_stopped) {
+        co_return StreamBroke("the generation was stopped for its final copy");
+      }
+    }
     // The end of a connection may look like the end of an answer that an engine
     // had only begun when it crashed.
     if (!generation_->has_events && !resume_after_) {
--- a/test/forward-support.cc
+++ b/test/forward-support.cc
@@ -18,6 +18,10 @@
 namespace {
 
 constexpr size_t kMaxRequestBytes = 16 * 1024;
+// Longer than any test runs.
+constexpr Millis kLongHold{60'000};
+// Tasks count as idle if none was ready for this long.
+constexpr std::chrono::milliseconds kIdleTime{20};
 
 Task<void> FetchInto(
     http::Client& client,
@@ -54,6 +58,7 @@
 RawUpstream::RawUpstream(const base::Executor& executor, RawAnswer answer)
     : acceptor_(executor,
                 tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)),
+      held_(executor),
       answer_(std::move(answer)) {
   base::Spawn(executor, AcceptAll());
 }
@@ -76,6 +81,9 @@
   co_await socket.async_read_some(boost::asio::buffer(request), base::kNoThrow);
   co_await boost::asio::async_write(socket, boost::asio::buffer(answer.bytes),
                                     base::kNoThrow);
+  if (answer.held) {
+    co_await base::SleepOnTimer(held_, kLongHold);
+  }
   if (answer.reset) {
     // The destructor would not reset it.
     socket.set_option(boost::asio::socket_base::linger(true, 0));
@@ -115,10 +123,19 @@
   if (on_copy) {
     result = on_copy(generation, stop_generation);
   }
+  if (stop_generation && hold_final_copies) {
+    held_answer_.emplace(co_await boost::asio::this_coro::executor);
+    co_await base::SleepOnTimer(*held_answer_, kLongHold);
+    held_answer_.reset();
+  }
   result.self = self_report;
   co_return result;
 }
 
+bool FakeEngineControl::AnswerFinalCopy() {
+  return held_answer_ && held_answer_->cancel() > 0;
+}
+
 Task<void> FakeEngineControl::FreeCopy(tcp::endpoint, std::string handle) {
   freed_handles.push_back(handle);
   co_return;
@@ -335,6 +352,12 @@
   return true;
 }
 
+void ForwardFixture::RunUntilIdle() {
+  context_.restart();
+  while (context_.run_one_for(kIdleTime) > 0) {
+  }
+}
+
 http::Request CallerRequestFor(const std::string& route,
                                const std::string& id,
                                Millis deadline) {
@@ -370,4 +393,50 @@
   return response;
 }
 
+std::string EventText(int64_t id) {
+  return "id: " + std::to_string(id) + "\ndata: x\n\n";
+}
+
+std::string EventsUpTo(int64_t last) {
+  std::string text;
+  for (int64_t id = 1; id <= last; ++id) {
+    text += EventText(id);
+  }
+  return text;
+}
+
+http::Handler StreamUpTo(int64_t last, bool complete) {
+  return [last, complete](http::Exchange& exchange) -> Task<void> {
+    int64_t after = 0;
+    const std::string last_event_id(
+        exchange.request().headers.Find("Last-Event-Id"));
+    if (!last_event_id.empty()) {
+      after = std::stoll(last_event_id);
+    }
+    http::Response head = SealedResponse(exchange.request(), "");
+    head.headers.Add("Content-Type", "text/event-stream");
+    absl::Status written = co_await exchange.StartStream(std::move(head));
+    for (int64_t id = after + 1; written.ok() && id <= last; ++id) {
+      const std::string event = EventText(id);
+      written = co_await exchange.Write(event);
+    }
+    if (complete) {
+      (void)co_await exchange.Finish();
+    } else {
+      // An incomplete event, which must not reach the caller.
+      const std::string partial_event =
+          "id: " + std::to_string(last + 1) + "\nda";
+      (void)co_await exchange.Write(partial_event);
+      exchange.Abort();
+    }
+  };
+}
+
+Task<void> RejectNotRun(http::Exchange& exchange) {
+  http::Response response = SealedResponse(exchange.request(), "full");
+  response.status = 503;
+  response.headers.Add("X-Dandeliondyke-Not-Executed", "1");
+  (void)co_await exchange.Respond(std::move(response));
+}
+
 }  // namespace dandelion::test
--- a/test/forward-support.h
+++ b/test/forward-support.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -38,6 +39,8 @@
   base::Millis pause{0};
   /// Resets the connection after `bytes`, in place of closing it.
   bool reset = false;
+  /// Keeps the connection open after `bytes` until `EndHeld`.
+  bool held = false;
 };
 
 /// An upstream that answers the first bytes on each connection with fixed bytes
@@ -53,6 +56,8 @@
     return acceptor_.local_endpoint();
   }
   void Close() { acceptor_.close(); }
+  /// Ends the connections of answers that are held.
+  void EndHeld() { held_.cancel(); }
   /// Number of connections so far.
   int connections() const { return connections_; }
   /// Number of connections that the peer closed before all of `repeated` was
@@ -64,6 +69,7 @@
   base::Task<void> Answer(boost::asio::ip::tcp::socket socket);
 
   boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer held_;
   RawAnswer answer_;
   int connections_ = 0;
   int cut_ = 0;
@@ -72,6 +78,9 @@
 /// Engine control whose copies are answered by a function of the test.
 class FakeEngineControl : public relay::EngineControl {
  public:
+  /// Answers the final copy that is held. Returns false if there is none.
+  bool AnswerFinalCopy();
+
   std::function<relay::KvCacheCopyResult(const base::RequestId& generation,
                                          bool stop_generation)>
       on_copy;
@@ -81,6 +90,8 @@
   routing::SelfReport self_report;
   /// Number of copies that were requested.
   int copies = 0;
+  /// Answers a final copy only at `AnswerFinalCopy`.
+  bool hold_final_copies = false;
 
   base::Task<relay::KvCacheCopyResult> CopyKvCache(
       boost::asio::ip::tcp::endpoint source,
@@ -92,6 +103,9 @@
                             std::string handle) override;
   base::Task<absl::StatusOr<relay::EngineReport>> FetchEngineReport(
       boost::asio::ip::tcp::endpoint engine) override;
+
+ private:
+  std::optional<boost::asio::steady_timer> held_answer_;
 };
 
 /// A forwarder with its dependencies and an HTTP server for callers, all in
@@ -129,6 +143,8 @@
   http::Response SendRequestOrThrow(http::Request request);
   /// Runs tasks until the condition holds. Returns false after ten seconds.
   bool RunUntil(const std::function<bool()>& condition);
+  /// Runs tasks until none is ready.
+  void RunUntilIdle();
   base::Executor executor() { return context_.get_executor(); }
   base::Millis Now() const { return clock_.Now(); }
   /// Sets the daemon's clock forward and lets the quarantine decide. Timers are
@@ -179,5 +195,14 @@
 std::string RawAnswerTo(const std::string& id, const std::string& body);
 /// Returns an answer to `request` that carries the upstream's seal.
 http::Response SealedResponse(const http::Request& request, std::string body);
+/// Returns an event of a stream.
+std::string EventText(int64_t id);
+/// Returns the events from the first to `last`.
+std::string EventsUpTo(int64_t last);
+/// Streams the events after `Last-Event-Id` up to `last`, then ends the stream
+/// or breaks it.
+http::Handler StreamUpTo(int64_t last, bool complete);
+/// Rejects a request as an upstream that is full.
+base::Task<void> RejectNotRun(http::Exchange& exchange);
 
 }  // namespace dandelion::test
--- a/test/forward-test.cc
+++ b/test/forward-test.cc
@@ -97,13 +97,6 @@
   CHECK(first.seen().size() + second.seen().size() == 1);
 }
 
-Task<void> RejectNotRun(http::Exchange& exchange) {
-  http::Response response = SealedResponse(exchange.request(), "full");
-  response.status = 503;
-  response.headers.Add("X-Dandeliondyke-Not-Executed", "1");
-  (void)co_await exchange.Respond(std::move(response));
-}
-
 TEST_CASE("a request that did not run is rejected with a Retry-After",
           "[forward]") {
   ForwardFixture fixture("write", RequestKind::kNonIdempotent, 1);
@@ -197,47 +190,6 @@
   CHECK(upstream.seen().empty());
 }
 
-std::string EventText(int64_t id) {
-  return "id: " + std::to_string(id) + "\ndata: x\n\n";
-}
-
-/// Streams the events after `Last-Event-Id` up to `last`, then ends the stream
-/// or breaks it.
-http::Handler StreamUpTo(int64_t last, bool complete) {
-  return [last, complete](http::Exchange& exchange) -> Task<void> {
-    int64_t after = 0;
-    const std::string last_event_id(
-        exchange.request().headers.Find("Last-Event-Id"));
-    if (!last_event_id.empty()) {
-      after = std::stoll(last_event_id);
-    }
-    http::Response head = SealedResponse(exchange.request(), "");
-    head.headers.Add("Content-Type", "text/event-stream");
-    absl::Status written = co_await exchange.StartStream(std::move(head));
-    for (int64_t id = after + 1; written.ok() && id <= last; ++id) {
-      const std::string event = EventText(id);
-      written = co_await exchange.Write(event);
-    }
-    if (complete) {
-      (void)co_await exchange.Finish();
-    } else {
-      // An incomplete event, which must not reach the caller.
-      const std::string partial_event =
-          "id: " + std::to_string(last + 1) + "\nda";
-      (void)co_await exchange.Write(partial_event);
-      exchange.Abort();
-    }
-  };
-}
-
-std::string EventsUpTo(int64_t last) {
-  std::string text;
-  for (int64_t id = 1; id <= last; ++id) {
-    text += EventText(id);
-  }
-  return text;
-}
-
 TEST_CASE("all events of a stream are passed on", "[stream]") {
   ForwardFixture fixture("draft", RequestKind::kGeneration);
   fixture.AddUpstream("u-1", "draft", StreamUpTo(5, true));
--- a/test/upstream-bytes-test.cc
+++ b/test/upstream-bytes-test.cc
@@ -26,10 +26,6 @@
 constexpr Millis kReadTimeout{300};
 constexpr size_t kRepeatedPiece = 16 * 1024;
 
-std::string EventText(int64_t id) {
-  return "id: " + std::to_string(id) + "\ndata: x\n\n";
-}
-
 Task<void> RespondWithAnswer(http::Exchange& exchange) {
   http::Response response = SealedResponse(exchange.request(), "answer");
   (void)co_await exchange.Respond(std::move(response));
