Do not count a stream that its migration stopped as its engine's failure

Callers saw: nothing at once. An engine that obeys the order to stop a generation got a failure in its health (failure rate 0.2 after one migration) for a stream that this daemon had ended, and is chosen less for what may still continue there.

Cause: StreamBroke counted every broken stream, whoever ended it. Evidence: the test, chunked and without framing, result before and after the end. Ruled out: that the resumed part breaks (its answer is whole).

Change: StreamBroke first waits for the final copy's result, as the switch to the copy did right after it, and counts no failure while the engine may have been stopped. The log of broken runs and the evidence against parts of prompts go by the same state. An order that stopped nothing (404, 409) hides no failure; a test says so.

--- a/src/relay/stream_forward.cc
+++ b/src/relay/stream_forward.cc
@@ -198,7 +198,8 @@
 
   // Waits once for the result of a final copy that is under way.
   Task<void> AwaitFinalCopy() {
-    if (generation_->final_copy_running && !progress_.awaited_final_copy) {
+    if (generation_->final_copy_running && !call_->ended() &&
+        !progress_.awaited_final_copy) {
       progress_.awaited_final_copy = true;
       co_await base::SleepOnTimer(generation_->final_copy_ended,
                                   kFinalCopyTimeout);
@@ -254,7 +255,7 @@
   // Records how far the engine's answer was if it broke, unless the engine was
   // told to stop the generation.
   void RecordIfBroken(SendOutcome end) {
-    if (end != SendOutcome::kBroken || generation_->final_copy_running) {
+    if (end != SendOutcome::kBroken || generation_->may_be_stopped) {
       return;
     }
     const std::vector<base::PartId>& parts =
@@ -308,7 +309,7 @@
           co_await reply.connection->ReadSome(
               call_->OperationTimeout(services_.clock.Now()));
       if (!piece.ok()) {
-        co_return StreamBroke(std::string(piece.status().message()));
+        co_return co_await StreamBroke(std::string(piece.status().message()));
       }
       if (piece->empty()) {
         co_return co_await FinishStream(reply);
@@ -318,16 +319,21 @@
         co_return call_->EndReasonOr(SendOutcome::kCallerGone);
       }
       if (splitter_.incomplete().size() > kMaxEventBytes) {
-        co_return StreamBroke("an event of the stream exceeds the size limit");
+        co_return co_await StreamBroke(
+            "an event of the stream exceeds the size limit");
       }
     }
   }
 
-  // Ends a stream that broke.
-  SendOutcome StreamBroke(std::string reason) {
+  // Ends a stream that broke. That is the engine's failure unless it was told
+  // to stop the generation.
+  Task<SendOutcome> StreamBroke(std::string reason) {
     result_.reason = std::move(reason);
-    RecordBrokenAnswer(services_, *call_, generation_->place.upstream);
-    return call_->EndReasonOr(SendOutcome::kBroken);
+    co_await AwaitFinalCopy();
+    if (!generation_->may_be_stopped) {
+      RecordBrokenAnswer(services_, *call_, generation_->place.upstream);
+    }
+    co_return call_->EndReasonOr(SendOutcome::kBroken);
   }
 
   // Forwards the events that `piece` completes. Returns false if writing to the
@@ -397,18 +403,20 @@
   // because the engine was told to stop the generation.
   Task<SendOutcome> FinishStream(UpstreamReply& reply) {
     if (!splitter_.incomplete().empty()) {
-      co_return StreamBroke("the stream ended in the middle of an event");
+      co_return co_await StreamBroke(
+          "the stream ended in the middle of an event");
     }
     if (reply.connection->BodyEndsWithConnection()) {
       co_await AwaitFinalCopy();
       if (generation_->may_be_stopped) {
-        co_return StreamBroke("the generation was stopped for its final copy");
+        co_return co_await StreamBroke(
+            "the generation was stopped for its final copy");
       }
     }
     // The end of a connection may look like the end of an answer that an engine
     // had only begun when it crashed.
     if (!generation_->has_events && !resume_after_) {
-      co_return StreamBroke("the stream ended before its first event");
+      co_return co_await StreamBroke("the stream ended before its first event");
     }
     if (!started_) {
       const absl::Status head = co_await StartAnswer(reply);
--- a/test/ordered-stop-test.cc
+++ b/test/ordered-stop-test.cc
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
 
+#include <fmt/format.h>
+
 #include <optional>
 #include <string>
 
@@ -22,10 +24,10 @@
 /// A generation whose answer ends with its connection, on an engine that leaves
 /// and ends the stream between two events when the final copy is ordered.
 struct OrderedStopFixture : ForwardFixture {
-  explicit OrderedStopFixture(std::string framing = "Connection: close\r\n") {
+  explicit OrderedStopFixture(bool chunked = false) {
     AddRoute("draft", fleet::RequestKind::kGeneration);
     Publish();
-    RawAnswer answer{RawHead("r-1", framing) + EventsUpTo(kSentEvents)};
+    RawAnswer answer{chunked ? ChunkedStart() : UnframedStart()};
     answer.held = true;
     source = &AddRawUpstream(kSource.value(), "draft", std::move(answer));
     engines.on_copy = [this](const RequestId&, bool stop_generation) {
@@ -45,6 +47,16 @@
         [this](http::Exchange& exchange) { return on_target(exchange); });
   }
 
+  static std::string UnframedStart() {
+    return RawHead("r-1", "Connection: close\r\n") + EventsUpTo(kSentEvents);
+  }
+  // Without the last chunk.
+  static std::string ChunkedStart() {
+    const std::string events = EventsUpTo(kSentEvents);
+    return RawHead("r-1", "Transfer-Encoding: chunked\r\n") +
+           fmt::format("{:x}\r\n{}\r\n", events.size(), events);
+  }
+
   /// Lets the source leave and runs until the caller has its answer. The
   /// final copy is answered before or after the stream's end was read.
   void MoveToEnd() {
@@ -106,5 +118,26 @@
   CHECK(fixture.target->seen().empty());
 }
 
+// Guards against an engine that is avoided because it obeyed an order.
+TEST_CASE("an engine's stream that was stopped counts as its failure",
+          "[moving]") {
+  OrderedStopFixture fixture(GENERATE(false, true));
+  fixture.engines.hold_final_copies = GENERATE(false, true);
+  fixture.MoveToEnd();
+  REQUIRE(fixture.response->ok());
+  CHECK((*fixture.response)->body == EventsUpTo(kAllEvents));
+  CHECK(fixture.health.FailureRate(kSource) == 0);
+}
+
+// Guards against a failure that is hidden by an order that stopped nothing.
+TEST_CASE("a stream that broke without being stopped is no failure",
+          "[moving]") {
+  OrderedStopFixture fixture(true);
+  fixture.engines.hold_final_copies = true;
+  fixture.final_outcome = KvCacheCopyOutcome::kNoGeneration;
+  fixture.MoveToEnd();
+  CHECK(fixture.health.FailureRate(kSource) > 0);
+}
+
 }  // namespace
 }  // namespace dandelion::test
