Count an end within an answer's head as a crash under the prompt's parts

Cause: a break was evidence only after a complete head. Ruled out: evidence that is explained away, and a quarantine that lets requests pass.

Change: Connection::EndedInHead; AnswerEvidence takes over what StreamForwarder knew of an answer's progress. Timeouts, closes of our own, interim heads and bytes that are no answer accuse nothing, as before.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -40,6 +40,13 @@
                    "check that the peer is running and reachable");
 }
 
+// Whether the peer ended the connection within a response. Timeouts, bytes that
+// are no response and a close from here are other errors.
+bool IsEndByPeer(const boost::system::error_code& error) {
+  return error == bhttp::error::partial_message ||
+         error == asio::error::connection_reset;
+}
+
 // Interim responses (RFC 9110, section 15.2) precede the answer.
 constexpr unsigned kStatusClass = 100;
 constexpr unsigned kInterimClass = 1;
@@ -86,6 +93,7 @@
       const auto [error, size] = co_await bhttp::async_read_header(
           stream_, buffer_, *parser_, kNoThrow);
       if (error) {
+        ended_in_head_ = parser_->got_some() && IsEndByPeer(error);
         co_return ConnectionError(endpoint_, error);
       }
       const unsigned status = parser_->get().result_int();
@@ -136,6 +144,8 @@
     return parser_->is_header_done() && parser_->need_eof();
   }
 
+  bool EndedInHead() const override { return ended_in_head_; }
+
   bool MayHaveBeenSent() const override { return may_have_been_sent_; }
 
   bool IsReusable() const override {
@@ -180,6 +190,7 @@
   bool skip_body_ = false;
   bool may_have_been_sent_ = false;
   bool response_complete_ = false;
+  bool ended_in_head_ = false;
 };
 
 Task<absl::StatusOr<Response>> SendAndReadResponse(Connection& connection,
--- /dev/null
+++ b/src/relay/answer_evidence.cc
@@ -0,0 +1,60 @@
+#include "relay/answer_evidence.h"
+
+#include <utility>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "relay/send_once.h"
+#include "telemetry/events.h"
+
+namespace dandelion::relay {
+
+using base::Millis;
+using telemetry::Emit;
+using telemetry::Event;
+
+AnswerEvidence::AnswerEvidence(const ForwardServices& services,
+                               ForwardCallPtr call,
+                               base::UpstreamId upstream)
+    : services_(services),
+      call_(std::move(call)),
+      upstream_(std::move(upstream)) {}
+
+void AnswerEvidence::RecordContent(Millis now) {
+  ++pieces_;
+  if (now - head_at_.value_or(now) >= kSoundAnswerTime) {
+    RecordSound(now);
+  }
+}
+
+void AnswerEvidence::RecordComplete(Millis now) {
+  RecordSound(now);
+}
+
+void AnswerEvidence::RecordSound(Millis now) {
+  if (!sound_) {
+    sound_ = true;
+    services_.quarantine.RecordSound(call_->admitted.caller.shared_parts, now);
+  }
+}
+
+bool AnswerEvidence::RecordBreak(const std::string& reason, Millis now) {
+  const std::vector<base::PartId>& parts = call_->admitted.caller.shared_parts;
+  const Millis head_age = now - head_at_.value_or(now);
+  Emit(Event::kRunBroken, {{"request", call_->admitted.caller.id.value()},
+                           {"upstream", upstream_.value()},
+                           {"begun", ended_in_head_ || head_at_ ? "1" : "0"},
+                           {"head", head_at_ ? "1" : "0"},
+                           {"head_age_ms", absl::StrCat(head_age.count())},
+                           {"events", absl::StrCat(pieces_)},
+                           {"shared_parts", JoinPartIds(parts)},
+                           {"reason", reason}});
+  const bool crashed_at_start = (ended_in_head_ || head_at_) && pieces_ == 0;
+  if (!crashed_at_start) {
+    return false;
+  }
+  services_.quarantine.RecordBreak(upstream_, parts, now);
+  return services_.quarantine.IsSuspect(parts, now);
+}
+
+}  // namespace dandelion::relay
--- a/src/relay/stream_forward.cc
+++ b/src/relay/stream_forward.cc
@@ -7,6 +7,7 @@
 
 #include "absl/cleanup/cleanup.h"
 #include "absl/strings/str_cat.h"
+#include "relay/answer_evidence.h"
 #include "relay/event_splitter.h"
 #include "relay/generation_size.h"
 #include "relay/send_once.h"
@@ -33,25 +34,11 @@
 // Generations with a shorter output are urgent, because they free their memory
 // soon.
 constexpr int64_t kShortOutputTokens = 128;
-// An engine that still sends events after this time did not crash because of
-// the prompt.
-constexpr Millis kSoundAnswerTime{500};
 // Longest wait for the result of the final copy after the stream broke.
 constexpr Millis kFinalCopyTimeout{1500};
 // A stream with a longer event is broken.
 constexpr size_t kMaxEventBytes = 1024 * 1024;
 
-// How far an engine's answer to one send has come.
-struct RunProgress {
-  std::optional<Millis> head_at;
-  // Events that the caller did not have yet.
-  int64_t events = 0;
-  // The engine kept running after it began to answer.
-  bool sound = false;
-  // The stream has ended and the result of the final copy was waited for.
-  bool awaited_final_copy = false;
-};
-
 // Whether a send that ended so certainly did not start the generation.
 bool DidNotRun(SendOutcome end) {
   return end == SendOutcome::kNotSent || end == SendOutcome::kNotRun ||
@@ -199,8 +186,8 @@
   // Waits once for the result of a final copy that is under way.
   Task<void> AwaitFinalCopy() {
     if (generation_->final_copy_running && !call_->ended() &&
-        !progress_.awaited_final_copy) {
-      progress_.awaited_final_copy = true;
+        !awaited_final_copy_) {
+      awaited_final_copy_ = true;
       co_await base::SleepOnTimer(generation_->final_copy_ended,
                                   kFinalCopyTimeout);
     }
@@ -234,11 +221,15 @@
   // Sends the request to `generation_->place` and forwards events until the
   // stream ends or breaks.
   Task<SendOutcome> PassStream(std::optional<KvCacheCopy> copy) {
-    progress_ = {};
+    evidence_.emplace(services_, call_, generation_->place.upstream);
+    awaited_final_copy_ = false;
     UpstreamReply reply = co_await SendOnce(
         services_, call_, generation_->place, std::move(copy), resume_after_);
     if (reply.end != SendOutcome::kAnswered) {
       result_.reason = reply.reason;
+      if (reply.ended_in_head) {
+        evidence_->RecordEndInHead();
+      }
       RecordIfBroken(reply.end);
       co_return reply.end;
     }
@@ -246,42 +237,18 @@
     if (reply.head.status != kOk) {
       co_return co_await HandleEngineError(reply);
     }
-    progress_.head_at = services_.clock.Now();
+    evidence_->RecordHead(services_.clock.Now());
     const SendOutcome end = co_await PassEvents(reply);
     RecordIfBroken(end);
     co_return end;
   }
 
-  // Records how far the engine's answer was if it broke, unless the engine was
-  // told to stop the generation.
+  // Records the end of an answer that the engine broke off, unless it was told
+  // to stop the generation.
   void RecordIfBroken(SendOutcome end) {
-    if (end != SendOutcome::kBroken || generation_->may_be_stopped) {
-      return;
-    }
-    const std::vector<base::PartId>& parts =
-        call_->admitted.caller.shared_parts;
-    const Millis now = services_.clock.Now();
-    const Millis head_age = now - progress_.head_at.value_or(now);
-    Emit(Event::kRunBroken, {{"request", generation_->id.value()},
-                             {"upstream", generation_->place.upstream.value()},
-                             {"head", progress_.head_at ? "1" : "0"},
-                             {"head_age_ms", absl::StrCat(head_age.count())},
-                             {"events", absl::StrCat(progress_.events)},
-                             {"shared_parts", JoinPartIds(parts)},
-                             {"reason", result_.reason}});
-    // An engine that crashes under a part does so as it begins to answer.
-    if (progress_.head_at && progress_.events == 0) {
-      services_.quarantine.RecordBreak(generation_->place.upstream, parts, now);
-      may_crash_engines_ = services_.quarantine.IsSuspect(parts, now);
-    }
-  }
-
-  // Records that the engine answers and keeps running.
-  void RecordSound(Millis now) {
-    if (!progress_.sound) {
-      progress_.sound = true;
-      services_.quarantine.RecordSound(call_->admitted.caller.shared_parts,
-                                       now);
+    if (end == SendOutcome::kBroken && !generation_->may_be_stopped) {
+      may_crash_engines_ =
+          evidence_->RecordBreak(result_.reason, services_.clock.Now());
     }
   }
 
@@ -349,7 +316,6 @@
       if (event.id) {
         generation_->last_event = *event.id;
       }
-      ++progress_.events;
       bytes += event.bytes;
       RecordEvent(last_event_at);
     }
@@ -383,9 +349,7 @@
           Timing::kFirstToken, call_->admitted.organisation,
           call_->admitted.route.name.value(), (now - call_->arrived).seconds());
     }
-    if (now - progress_.head_at.value_or(now) >= kSoundAnswerTime) {
-      RecordSound(now);
-    }
+    evidence_->RecordContent(now);
     *last_event_at = now;
   }
 
@@ -424,7 +388,7 @@
         co_return SendOutcome::kCallerGone;
       }
     }
-    RecordSound(services_.clock.Now());
+    evidence_->RecordComplete(services_.clock.Now());
     (void)co_await call_->exchange.Finish();
     done_ = true;
     result_.end = SendOutcome::kAnswered;
@@ -442,7 +406,10 @@
   EventSplitter splitter_;
   /// Number of the event after which the engine is asked to continue.
   std::optional<int64_t> resume_after_;
-  RunProgress progress_;
+  /// What the current answer says about the parts of the prompt.
+  std::optional<AnswerEvidence> evidence_;
+  /// The result of the final copy was waited for after the stream's end.
+  bool awaited_final_copy_ = false;
   /// The answer broke as it began, and the prompt has a part that may be the
   /// cause. Another engine would crash as well.
   bool may_crash_engines_ = false;
--- a/src/relay/upstream_call.h
+++ b/src/relay/upstream_call.h
@@ -35,6 +35,8 @@
   UpstreamResponseHead answer;
   /// Cause of any end other than `kAnswered`.
   std::string reason;
+  /// The upstream ended the connection within the answer's head.
+  bool ended_in_head = false;
 };
 
 /// Sends the request on a new connection and reads the head of the answer.
--- a/test/forward-parts-test.cc
+++ b/test/forward-parts-test.cc
@@ -2,6 +2,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "test/forward-support.h"
 
@@ -102,6 +103,65 @@
   CHECK(fixture.crashes == before);
 }
 
+/// Engines that end their connection within the answer's head under
+/// `kCrashingPart`, and a request a second with the part.
+struct HeadCrashFixture : ForwardFixture {
+  HeadCrashFixture(RequestKind kind, RawAnswer answer) {
+    AddRoute("draft", kind);
+    Publish();
+    for (int i = 0; i < kEngines; ++i) {
+      raw.push_back(&AddRawUpstream("u-" + std::to_string(i), "draft", answer));
+    }
+  }
+
+  int SendCrashing() {
+    AdvanceClock(Millis(1000));
+    http::Request request = CallerRequestFor("draft", "r-1");
+    request.headers.Add("X-Dandeliondyke-Prefix-Hash",
+                        "ca11e4:80," + kCrashingPart + ":40,last:20");
+    return SendRequestOrThrow(std::move(request)).status;
+  }
+  int Sends() const {
+    int sends = 0;
+    for (const RawUpstream* upstream : raw) {
+      sends += upstream->connections();
+    }
+    return sends;
+  }
+
+  std::vector<const RawUpstream*> raw;
+};
+
+// Guards against a part that crashes engines while they write the head of the
+// answer and is never quarantined.
+TEST_CASE("a part that crashes engines within the head is never quarantined",
+          "[parts]") {
+  const std::string head = RawHead("r-1", "Transfer-Encoding: chunked\r\n");
+  RawAnswer answer{
+      head.substr(0, GENERATE_COPY(size_t{1}, size_t{60}, head.size() - 1))};
+  answer.reset = GENERATE(false, true);
+  HeadCrashFixture fixture(RequestKind::kGeneration, answer);
+  int status = 0;
+  for (int i = 0; i < kEngines; ++i) {
+    status = fixture.SendCrashing();
+  }
+  CHECK(status == kUnavailable);
+  CHECK(fixture.Sends() <= kMaxCrashes);
+}
+
+// Guards against sound parts that are rejected because engines restart before
+// they answer, garble heads or send only interim ones.
+TEST_CASE("engines that end without a begun head accuse a part", "[parts]") {
+  const RawAnswer answer{GENERATE(as<std::string>(), "",
+                                  "HTTP/1.1 100 Continue\r\n\r\n",
+                                  "not an answer\r\n\r\n")};
+  HeadCrashFixture fixture(RequestKind::kGeneration, answer);
+  for (int i = 0; i < kEngines; ++i) {
+    CHECK(fixture.SendCrashing() == 502);
+  }
+  CHECK(fixture.quarantine.quarantine_count() == 0);
+}
+
 TEST_CASE("a generation that broke as it began crashes a second engine",
           "[parts]") {
   CrashFixture fixture(true);
