Count breaks of plain answers as evidence against the prompt's parts

Callers saw: a part that crashes engines under plain requests is never quarantined, at no stage of the answer, and the request is sent to the next engine where its route allows it.

Cause: only ForwardStream told the quarantine how answers end. Evidence: 12 of 12 engines crash in the test, 5 allowed. Ruled out: health; the crashed engines stay away and others are chosen.

Change: ForwardPlain and PassAnswer follow an answer with AnswerEvidence. A complete success proves the parts, a break before the body's first byte is a crash under them, and such a request is not sent to a second engine. Our own closes (deadline, caller gone, stop) are no evidence.

--- a/src/relay/plain_forward.cc
+++ b/src/relay/plain_forward.cc
@@ -15,6 +15,10 @@
 // A request waits for a slot for at most this many times its answer target.
 constexpr int64_t kMaxWaitInTargets = 2;
 constexpr int kFirstServerError = 500;
+constexpr int kFirstSuccess = 200;
+constexpr int kLastSuccess = 299;
+constexpr char kIncompleteReason[] =
+    "the connection failed before the answer was complete";
 
 struct ReadBody {
   std::string bytes;
@@ -24,7 +28,10 @@
   bool broken = false;
 };
 
-Task<ReadBody> ReadShortBody(http::Connection& connection, Millis timeout) {
+Task<ReadBody> ReadShortBody(const ForwardServices& services,
+                             http::Connection& connection,
+                             Millis timeout,
+                             AnswerEvidence& evidence) {
   ReadBody body;
   while (body.bytes.size() < kMaxBufferedBody) {
     const absl::StatusOr<std::string_view> piece =
@@ -38,6 +45,7 @@
       co_return body;
     }
     body.bytes.append(*piece);
+    evidence.RecordContent(services.clock.Now());
   }
   co_return body;
 }
@@ -79,28 +87,49 @@
   return request;
 }
 
+// Records a complete answer, which shows that the upstream kept running if it
+// is a success.
+void RecordComplete(const UpstreamReply& reply,
+                    AnswerEvidence& evidence,
+                    Millis now) {
+  const int status = reply.head.status;
+  if (status >= kFirstSuccess && status <= kLastSuccess) {
+    evidence.RecordComplete(now);
+  }
+}
+
 // An answer and its body, as far as it was buffered.
 struct BufferedReply {
   UpstreamReply head;
   ReadBody body;
+  // The answer broke, and a part of the prompt may be the cause.
+  bool may_crash_engines = false;
 };
 
 Task<BufferedReply> SendAndReadBody(const ForwardServices& services,
                                     ForwardCallPtr call,
-                                    const migration::Place& place) {
+                                    const migration::Place& place,
+                                    AnswerEvidence& evidence) {
   BufferedReply reply;
   reply.head =
       co_await SendOnce(services, call, place, std::nullopt, std::nullopt);
-  if (reply.head.end != SendOutcome::kAnswered) {
-    co_return reply;
+  if (reply.head.end == SendOutcome::kAnswered) {
+    const Millis now = services.clock.Now();
+    evidence.RecordHead(now);
+    reply.body = co_await ReadShortBody(services, *reply.head.connection,
+                                        call->OperationTimeout(now), evidence);
+  } else if (reply.head.ended_in_head) {
+    evidence.RecordEndInHead();
   }
-  reply.body = co_await ReadShortBody(
-      *reply.head.connection, call->OperationTimeout(services.clock.Now()));
   if (reply.body.broken) {
     reply.head.connection->Close();
     RecordBrokenAnswer(services, *call, place.upstream);
     reply.head.end = call->EndReasonOr(SendOutcome::kBroken);
-    reply.head.reason = "the connection failed before the answer was complete";
+    reply.head.reason = kIncompleteReason;
+  }
+  if (reply.head.end == SendOutcome::kBroken) {
+    reply.may_crash_engines =
+        evidence.RecordBreak(reply.head.reason, services.clock.Now());
   }
   co_return reply;
 }
@@ -118,7 +147,9 @@
   result.reason = UnsentReason(wait);
   result.capacity_in = wait.capacity_in;
   while (place) {
-    BufferedReply reply = co_await SendAndReadBody(services, call, *place);
+    AnswerEvidence evidence(services, call, place->upstream);
+    BufferedReply reply =
+        co_await SendAndReadBody(services, call, *place, evidence);
     const bool failed = reply.head.end == SendOutcome::kAnswered &&
                         reply.head.head.status >= kFirstServerError &&
                         call->admitted.route.MayRunTwice();
@@ -128,13 +159,14 @@
     if (failed) {
       place = PlaceRetry(services, *call, request, reply.head.end);
     } else if (reply.head.end != SendOutcome::kAnswered &&
+               !reply.may_crash_engines &&
                TryRetry(services, *call, pool, reply.head.end)) {
       wait = co_await WaitForSend(services, call, request);
       place = std::move(wait.place);
     }
     if (!place && reply.head.end == SendOutcome::kAnswered) {
       co_return co_await PassAnswer(services, call, upstream, reply.head,
-                                    std::move(reply.body.bytes));
+                                    std::move(reply.body.bytes), evidence);
     }
     call->SetConnection(nullptr);
     result.end = reply.head.end;
@@ -147,7 +179,8 @@
                                ForwardCallPtr call,
                                base::UpstreamId upstream,
                                UpstreamReply& reply,
-                               std::string first) {
+                               std::string first,
+                               AnswerEvidence& evidence) {
   ForwardResult result;
   result.end = SendOutcome::kAnswered;
   result.status = reply.head.status;
@@ -160,8 +193,14 @@
     call->SetConnection(nullptr);
     result.end = call->EndReasonOr(SendOutcome::kBroken);
     result.reason = std::string(piece.status().message());
+    if (result.end == SendOutcome::kBroken) {
+      evidence.RecordBreak(result.reason, services.clock.Now());
+    }
     co_return result;
   }
+  if (piece->empty()) {
+    RecordComplete(reply, evidence, services.clock.Now());
+  }
   if (piece->empty() && !is_head_request) {
     http::Response complete =
         MakeCompleteResponse(reply.head, std::move(first));
@@ -176,6 +215,7 @@
     written = co_await call->exchange.Write(first);
   }
   while (written.ok() && piece.ok() && !piece->empty()) {
+    evidence.RecordContent(services.clock.Now());
     written = co_await call->exchange.Write(*piece);
     if (written.ok()) {
       piece = co_await connection.ReadSome(
@@ -183,14 +223,19 @@
     }
   }
   if (written.ok() && piece.ok()) {
+    RecordComplete(reply, evidence, services.clock.Now());
     (void)co_await call->exchange.Finish();
     co_return result;
   }
   if (!piece.ok()) {
     RecordBrokenAnswer(services, *call, upstream);
   }
+  if (!piece.ok() &&
+      call->EndReasonOr(SendOutcome::kBroken) == SendOutcome::kBroken) {
+    evidence.RecordBreak(kIncompleteReason, services.clock.Now());
+  }
   result.reason = written.ok()
-                      ? "the connection failed before the answer was complete"
+                      ? kIncompleteReason
                       : "the answer could not be written to the caller";
   call->exchange.Abort();
   co_return result;
--- a/src/relay/plain_forward.h
+++ b/src/relay/plain_forward.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "relay/answer_evidence.h"
 #include "relay/forwarder.h"
 
 namespace dandelion::relay {
@@ -12,11 +13,13 @@
                                        fleet::Pool pool);
 
 /// Passes an answer of any length from `upstream` to the caller. `first` is the
-/// part of the body that was already read from the connection.
+/// part of the body that was already read from the connection. `evidence` must
+/// outlive the task.
 base::Task<ForwardResult> PassAnswer(const ForwardServices& services,
                                      ForwardCallPtr call,
                                      base::UpstreamId upstream,
                                      UpstreamReply& reply,
-                                     std::string first);
+                                     std::string first,
+                                     AnswerEvidence& evidence);
 
 }  // namespace dandelion::relay
--- a/src/relay/stream_forward.cc
+++ b/src/relay/stream_forward.cc
@@ -258,8 +258,8 @@
     next_place_ =
         PlaceRetry(services_, *call_, request_, SendOutcome::kAnswered);
     if (!started_ && !next_place_) {
-      result_ = co_await PassAnswer(services_, call_,
-                                    generation_->place.upstream, reply, "");
+      result_ = co_await PassAnswer(
+          services_, call_, generation_->place.upstream, reply, "", *evidence_);
       done_ = true;
       co_return SendOutcome::kAnswered;
     }
--- a/test/forward-parts-test.cc
+++ b/test/forward-parts-test.cc
@@ -103,10 +103,10 @@
   CHECK(fixture.crashes == before);
 }
 
-/// Engines that end their connection within the answer's head under
-/// `kCrashingPart`, and a request a second with the part.
-struct HeadCrashFixture : ForwardFixture {
-  HeadCrashFixture(RequestKind kind, RawAnswer answer) {
+/// Engines that all answer with the same bytes and end their connection, and a
+/// request a second with `kCrashingPart`.
+struct RawCrashFixture : ForwardFixture {
+  RawCrashFixture(RequestKind kind, RawAnswer answer) {
     AddRoute("draft", kind);
     Publish();
     for (int i = 0; i < kEngines; ++i) {
@@ -119,7 +119,13 @@
     http::Request request = CallerRequestFor("draft", "r-1");
     request.headers.Add("X-Dandeliondyke-Prefix-Hash",
                         "ca11e4:80," + kCrashingPart + ":40,last:20");
-    return SendRequestOrThrow(std::move(request)).status;
+    const int status = SendRequestOrThrow(std::move(request)).status;
+    for (RawUpstream* upstream : raw) {
+      if (upstream->connections() > 0) {
+        upstream->Close();  // It crashed and does not come back.
+      }
+    }
+    return status;
   }
   int Sends() const {
     int sends = 0;
@@ -129,7 +135,7 @@
     return sends;
   }
 
-  std::vector<const RawUpstream*> raw;
+  std::vector<RawUpstream*> raw;
 };
 
 // Guards against a part that crashes engines while they write the head of the
@@ -140,7 +146,24 @@
   RawAnswer answer{
       head.substr(0, GENERATE_COPY(size_t{1}, size_t{60}, head.size() - 1))};
   answer.reset = GENERATE(false, true);
-  HeadCrashFixture fixture(RequestKind::kGeneration, answer);
+  RawCrashFixture fixture(RequestKind::kGeneration, answer);
+  int status = 0;
+  for (int i = 0; i < kEngines; ++i) {
+    status = fixture.SendCrashing();
+  }
+  CHECK(status == kUnavailable);
+  CHECK(fixture.Sends() <= kMaxCrashes);
+}
+
+// Guards against crashes under plain requests that accuse no part.
+TEST_CASE(
+    "a part that crashes engines under plain requests is never "
+    "quarantined",
+    "[parts]") {
+  const std::string head = RawHead("r-1", "Content-Length: 4\r\n");
+  RawAnswer answer{GENERATE_COPY(head.substr(0, 1), head.substr(0, 60), head)};
+  answer.reset = GENERATE(false, true);
+  RawCrashFixture fixture(RequestKind::kIdempotent, answer);
   int status = 0;
   for (int i = 0; i < kEngines; ++i) {
     status = fixture.SendCrashing();
@@ -155,7 +178,8 @@
   const RawAnswer answer{GENERATE(as<std::string>(), "",
                                   "HTTP/1.1 100 Continue\r\n\r\n",
                                   "not an answer\r\n\r\n")};
-  HeadCrashFixture fixture(RequestKind::kGeneration, answer);
+  RawCrashFixture fixture(
+      GENERATE(RequestKind::kGeneration, RequestKind::kIdempotent), answer);
   for (int i = 0; i < kEngines; ++i) {
     CHECK(fixture.SendCrashing() == 502);
   }
