Count breaks after an answer's first content as weaker evidence

Callers saw: a part that crashes engines just after the first events, or the first bytes of a plain body, is never quarantined: 12 of 12 engines crash in the test, 5 allowed.

Cause: a break counted only while no content had come, as answers that happen to be young when their engine crashes look the same.

Change: BreakStage. Such a break counts while the head is younger than 0.5 s, and for less: four crashes at two upstreams or more, where two suffice before the content. The evidence before the content is weighed by itself, as before; late breaks take no room from it; a stream that may be resumed still is. Peers get late breaks in a field of their own, which daemons without this change ignore.

Ruled out: one standard for both. Three crashes of other causes would reject a rare part, and a caller's part could outweigh the crashing one.

Tests: "after the first content", 8 checks failed before, closed and reset, stream and plain; guards for young, long-running, stopped and resumable answers, one engine, all at once, and bounded evidence.

--- a/src/admission/part_exchange.cc
+++ b/src/admission/part_exchange.cc
@@ -24,8 +24,11 @@
 void EncodeCrash(const PartEvidence::Crash& crash, proto::EngineCrash* out) {
   out->set_upstream(crash.upstream.value());
   out->set_age_ms(crash.age.count());
-  for (const PartList& parts : crash.requests) {
-    EncodeParts(parts, out->add_requests()->mutable_parts());
+  for (const auto& [parts, stage] : crash.requests) {
+    proto::PromptParts* request = stage == BreakStage::kBegun
+                                      ? out->add_requests()
+                                      : out->add_late_requests();
+    EncodeParts(parts, request->mutable_parts());
   }
 }
 
@@ -33,8 +36,11 @@
   PartEvidence::Crash crash;
   crash.upstream = UpstreamId(in.upstream());
   crash.age = Millis(in.age_ms());
+  for (const proto::PromptParts& request : in.late_requests()) {
+    crash.requests[DecodeParts(request.parts())] = BreakStage::kContentSent;
+  }
   for (const proto::PromptParts& request : in.requests()) {
-    crash.requests.insert(DecodeParts(request.parts()));
+    crash.requests[DecodeParts(request.parts())] = BreakStage::kBegun;
   }
   return crash;
 }
--- a/src/admission/part_quarantine.cc
+++ b/src/admission/part_quarantine.cc
@@ -46,6 +46,14 @@
   return rest;
 }
 
+bool BrokeLate(const CrashedRequests::value_type& request) {
+  return request.second == BreakStage::kContentSent;
+}
+
+bool BrokeOnlyLate(const CrashedRequests& requests) {
+  return std::all_of(requests.begin(), requests.end(), BrokeLate);
+}
+
 /// Limits an age that a peer sent.
 Millis CheckedAge(Millis age) {
   return std::clamp(age, Millis(0), PartQuarantine::kQuarantineMemory);
@@ -105,9 +113,10 @@
 bool PartQuarantine::IsReported(const PartId& part) const {
   const bool in_crash = std::any_of(
       crashes_.begin(), crashes_.end(), [&part](const Crash& crash) {
-        return std::any_of(
-            crash.requests.begin(), crash.requests.end(),
-            [&part](const PartList& parts) { return Contains(parts, part); });
+        return std::any_of(crash.requests.begin(), crash.requests.end(),
+                           [&part](const auto& request) {
+                             return Contains(request.first, part);
+                           });
       });
   return in_crash || std::any_of(quarantines_.begin(), quarantines_.end(),
                                  [&part](const Quarantine& quarantine) {
@@ -120,9 +129,11 @@
     if (!IsProvenAt(part, crash.at)) {
       continue;
     }
-    std::set<PartList> remaining;
-    for (const PartList& parts : crash.requests) {
-      remaining.insert(Without(parts, part));
+    CrashedRequests remaining;
+    for (const auto& [parts, stage] : crash.requests) {
+      const auto [item, is_new] =
+          remaining.try_emplace(Without(parts, part), stage);
+      item->second = std::min(item->second, stage);
     }
     remaining.erase(PartList());
     crash.requests = std::move(remaining);
@@ -157,8 +168,44 @@
   }
 }
 
+bool PartQuarantine::DropCrash(BreakStage stage) {
+  auto dropped = std::find_if(
+      crashes_.begin(), crashes_.end(),
+      [](const Crash& crash) { return BrokeOnlyLate(crash.requests); });
+  if (dropped == crashes_.end()) {
+    if (stage != BreakStage::kBegun) {
+      return false;
+    }
+    dropped = crashes_.begin();
+  }
+  crashes_.erase(dropped);
+  return true;
+}
+
+bool PartQuarantine::AddRequest(const PartList& parts,
+                                BreakStage stage,
+                                Crash* crash) {
+  const auto known = crash->requests.find(parts);
+  if (known != crash->requests.end()) {
+    const bool is_earlier = stage < known->second;
+    known->second = std::min(known->second, stage);
+    return is_earlier;
+  }
+  if (crash->requests.size() >= kMaxRequestsPerCrash) {
+    const auto late =
+        std::find_if(crash->requests.begin(), crash->requests.end(), BrokeLate);
+    if (stage != BreakStage::kBegun || late == crash->requests.end()) {
+      return false;
+    }
+    crash->requests.erase(late);
+  }
+  crash->requests.emplace(parts, stage);
+  return true;
+}
+
 PartQuarantine::Crash* PartQuarantine::AddCrash(const UpstreamId& upstream,
                                                 const PartList& parts,
+                                                BreakStage stage,
                                                 Millis at,
                                                 Millis now) {
   const PartList unproven = UnprovenOf(parts, at);
@@ -171,8 +218,8 @@
                crash.at - at <= kSameCrashTime;
       });
   if (known == crashes_.end()) {
-    if (crashes_.size() >= kMaxCrashes) {
-      crashes_.erase(crashes_.begin());
+    if (crashes_.size() >= kMaxCrashes && !DropCrash(stage)) {
+      return nullptr;
     }
     const auto position = std::upper_bound(
         crashes_.begin(), crashes_.end(), at,
@@ -180,8 +227,7 @@
     known = crashes_.insert(position, Crash{upstream, at, now, {}, false});
     must_evaluate_ = true;
   }
-  if (known->requests.size() < kMaxRequestsPerCrash &&
-      known->requests.insert(unproven).second) {
+  if (AddRequest(unproven, stage, &*known)) {
     must_evaluate_ = true;
     // Peers that have it from this daemon only need it too.
     known->changed = true;
@@ -192,13 +238,14 @@
 
 void PartQuarantine::RecordBreak(const UpstreamId& upstream,
                                  const PartList& parts,
-                                 Millis now) {
+                                 Millis now,
+                                 BreakStage stage) {
   for (const PartId& part : UnprovenOf(parts, now)) {
     if (!IsReported(part)) {
       hooks_.on_suspected(part, upstream);
     }
   }
-  Crash* crash = AddCrash(upstream, parts, now, now);
+  Crash* crash = AddCrash(upstream, parts, stage, now, now);
   if (!crash) {
     return;
   }
@@ -213,7 +260,8 @@
   changed_ = true;
 }
 
-size_t PartQuarantine::CountCrashes(const std::set<size_t>& crashes) const {
+PartQuarantine::CrashCount PartQuarantine::CountCrashes(
+    const std::set<size_t>& crashes) const {
   std::set<UpstreamId> upstreams;
   size_t causes = 0;
   std::optional<Millis> cause_at;
@@ -226,7 +274,20 @@
       ++causes;
     }
   }
-  return std::min(causes, upstreams.size());
+  return {causes, upstreams.size()};
+}
+
+bool PartQuarantine::Meets(const Standard& standard,
+                           const std::set<size_t>& crashes) const {
+  const CrashCount count = CountCrashes(crashes);
+  return count.causes >= standard.crashes &&
+         count.upstreams >= standard.upstreams;
+}
+
+bool PartQuarantine::HasLateBreaks() const {
+  return std::any_of(crashes_.begin(), crashes_.end(), [](const Crash& crash) {
+    return std::any_of(crash.requests.begin(), crash.requests.end(), BrokeLate);
+  });
 }
 
 bool PartQuarantine::IsQuarantinedAlone(const PartId& part) const {
@@ -236,10 +297,14 @@
                      });
 }
 
-std::vector<PartQuarantine::Candidate> PartQuarantine::MakeCandidates() const {
+std::vector<PartQuarantine::Candidate> PartQuarantine::MakeCandidates(
+    const Standard& standard) const {
   std::map<PartId, Candidate> by_part;
   for (size_t i = 0; i < crashes_.size(); ++i) {
-    for (const PartList& parts : crashes_[i].requests) {
+    for (const auto& [parts, stage] : crashes_[i].requests) {
+      if (stage > standard.last_stage) {
+        continue;
+      }
       for (const PartId& part : parts) {
         const auto [item, is_new] = by_part.try_emplace(part);
         Candidate& candidate = item->second;
@@ -248,9 +313,10 @@
           candidate.companions = parts;
           candidate.known_at = crashes_[i].known_at;
         }
-        std::erase_if(candidate.companions, [&parts](const PartId& companion) {
-          return !Contains(parts, companion);
-        });
+        std::erase_if(candidate.companions,
+                      [&request = parts](const PartId& companion) {
+                        return !Contains(request, companion);
+                      });
         candidate.known_at = std::min(candidate.known_at, crashes_[i].known_at);
         candidate.crashes.insert(i);
       }
@@ -258,9 +324,10 @@
   }
   std::vector<Candidate> candidates;
   for (auto& [part, candidate] : by_part) {
-    const size_t count = CountCrashes(candidate.crashes);
-    candidate.strength = {count, IsQuarantinedAlone(part)};
-    if (count >= kCrashesToQuarantine) {
+    const CrashCount count = CountCrashes(candidate.crashes);
+    candidate.strength = {std::min(count.causes, count.upstreams),
+                          IsQuarantinedAlone(part)};
+    if (Meets(standard, candidate.crashes)) {
       candidates.push_back(std::move(candidate));
     }
   }
@@ -268,6 +335,7 @@
 }
 
 std::set<PartId> PartQuarantine::RemoveExplained(
+    const Standard& standard,
     std::vector<Candidate>* candidates) const {
   std::sort(candidates->begin(), candidates->end(),
             [](const Candidate& left, const Candidate& right) {
@@ -283,8 +351,7 @@
       strength = candidate.strength;
       explained = explained_by_equals;
     }
-    if (CountCrashes(Difference(candidate.crashes, explained)) <
-        kCrashesToQuarantine) {
+    if (!Meets(standard, Difference(candidate.crashes, explained))) {
       removed.insert(candidate.part);
       continue;
     }
@@ -311,8 +378,29 @@
 void PartQuarantine::EvaluateCrashes(Millis now) {
   must_evaluate_ = false;
   evaluate_at_.reset();
-  std::vector<Candidate> candidates = MakeCandidates();
-  RemoveQuarantinesOf(RemoveExplained(&candidates));
+  constexpr Standard kEarly{BreakStage::kBegun, kCrashesToQuarantine,
+                            kCrashesToQuarantine};
+  std::vector<Candidate> candidates = MakeCandidates(kEarly);
+  RemoveQuarantinesOf(RemoveExplained(kEarly, &candidates));
+  QuarantineCandidates(candidates, now);
+  if (!HasLateBreaks()) {
+    return;
+  }
+  constexpr Standard kLate{BreakStage::kContentSent, kLateCrashesToQuarantine,
+                           kCrashesToQuarantine};
+  std::vector<Candidate> late_candidates = MakeCandidates(kLate);
+  std::set<PartId> removed = RemoveExplained(kLate, &late_candidates);
+  // Late breaks don't outweigh what the early ones show.
+  for (const Candidate& candidate : candidates) {
+    removed.erase(candidate.part);
+  }
+  RemoveQuarantinesOf(removed);
+  QuarantineCandidates(late_candidates, now);
+}
+
+void PartQuarantine::QuarantineCandidates(
+    const std::vector<Candidate>& candidates,
+    Millis now) {
   for (const Candidate& candidate : candidates) {
     // A part that never crashed without this one, but this one without it.
     const bool has_narrower = std::any_of(
@@ -498,9 +586,9 @@
     if (now - at > kCrashMemory) {
       continue;
     }
-    for (const PartList& parts : crash.requests) {
+    for (const auto& [parts, stage] : crash.requests) {
       AnswerWithProofs(parts, at, now);
-      AddCrash(crash.upstream, parts, at, now);
+      AddCrash(crash.upstream, parts, stage, at, now);
     }
   }
   for (const PartEvidence::Quarantine& peer : evidence.quarantines) {
--- a/src/admission/part_quarantine.h
+++ b/src/admission/part_quarantine.h
@@ -18,14 +18,25 @@
 /// The parts of one prompt that other requests may share, in order.
 using PartList = std::vector<base::PartId>;
 
+/// How far an answer had come when its engine stopped, the earliest first.
+enum class BreakStage {
+  /// Its first byte had arrived, but no content.
+  kBegun,
+  /// The first content had arrived a moment before. Answers that happened to be
+  /// young look the same, so this is weaker evidence.
+  kContentSent,
+};
+
+/// The unproven parts of each request that broke in one crash.
+using CrashedRequests = std::map<PartList, BreakStage>;
+
 /// What daemons tell each other about parts. All times are ages.
 struct PartEvidence {
   /// Answers that broke as they began because their engine stopped.
   struct Crash {
     base::UpstreamId upstream;
     base::Millis age;
-    /// The unproven parts of each request that broke.
-    std::set<PartList> requests;
+    CrashedRequests requests;
   };
   struct Quarantine {
     PartList parts;
@@ -66,8 +77,12 @@
   /// Crashes of several upstreams within this time count as one, because they
   /// are likely to have a common cause outside the prompts.
   static constexpr base::Millis kCommonCauseTime{250};
-  /// Crashes, at as many upstreams, that quarantine a part.
+  /// Crashes, at as many upstreams, that quarantine a part if they came before
+  /// the content of its answers.
   static constexpr size_t kCrashesToQuarantine = 2;
+  /// Crashes, at two upstreams or more, that quarantine it if some came after
+  /// the first content.
+  static constexpr size_t kLateCrashesToQuarantine = 4;
   /// Minimum time between the first report of a part and its quarantine, in
   /// which peers can prove it.
   static constexpr base::Millis kProofWait{500};
@@ -114,7 +129,8 @@
   /// Records that an answer to a prompt with these parts broke as it began.
   void RecordBreak(const base::UpstreamId& upstream,
                    const PartList& parts,
-                   base::Millis now);
+                   base::Millis now,
+                   BreakStage stage = BreakStage::kBegun);
   /// Quarantines parts whose proof wait is over and forgets old evidence. Must
   /// be called every few tens of milliseconds.
   void Tick(base::Millis now);
@@ -147,9 +163,16 @@
     base::Millis at;
     /// When this daemon learned of the crash.
     base::Millis known_at;
-    std::set<PartList> requests;
+    CrashedRequests requests;
     bool changed = false;
   };
+  /// The evidence that is counted together, and how much of it quarantines.
+  struct Standard {
+    /// Breaks at later stages are not counted.
+    BreakStage last_stage;
+    size_t crashes;
+    size_t upstreams;
+  };
   struct Quarantine {
     PartList parts;
     int64_t crashes = 0;
@@ -188,25 +211,44 @@
                         base::Millis now);
   /// Removes a proven part from crashes and quarantines.
   void RemoveProvenPart(const base::PartId& part);
-  /// Returns the record of the crash, null if none of the parts is unproven.
+  /// Returns the record of the crash, null if none of the parts is unproven or
+  /// there is no room for it.
   Crash* AddCrash(const base::UpstreamId& upstream,
                   const PartList& parts,
+                  BreakStage stage,
                   base::Millis at,
                   base::Millis now);
+  /// Drops a crash to make room for one with a break at `stage`. Returns false
+  /// if all known ones are stronger evidence.
+  bool DropCrash(BreakStage stage);
+  /// Adds a request that broke in `crash`. Returns false if that is no news, or
+  /// there is no room for it.
+  static bool AddRequest(const PartList& parts, BreakStage stage, Crash* crash);
   /// Adds it, or merges it with a known one. Replaces narrower ones.
   void AddQuarantine(Quarantine quarantine);
   /// Merges what another daemon knows of a quarantine of the same parts.
   void MergeQuarantine(const Quarantine& other, Quarantine* known);
   void EvaluateCrashes(base::Millis now);
-  std::vector<Candidate> MakeCandidates() const;
+  /// Quarantines the candidates that nothing else explains.
+  void QuarantineCandidates(const std::vector<Candidate>& candidates,
+                            base::Millis now);
+  std::vector<Candidate> MakeCandidates(const Standard& standard) const;
   bool IsQuarantinedAlone(const base::PartId& part) const;
   /// Removes candidates whose crashes are explained by stronger ones. Returns
   /// the parts of the removed ones.
   std::set<base::PartId> RemoveExplained(
+      const Standard& standard,
       std::vector<Candidate>* candidates) const;
   void RemoveQuarantinesOf(const std::set<base::PartId>& parts);
-  /// Counts the crashes, those with a probable common cause as one.
-  size_t CountCrashes(const std::set<size_t>& crashes) const;
+  /// The number of crashes, those with a probable common cause counted as one,
+  /// and of their upstreams.
+  struct CrashCount {
+    size_t causes = 0;
+    size_t upstreams = 0;
+  };
+  CrashCount CountCrashes(const std::set<size_t>& crashes) const;
+  bool Meets(const Standard& standard, const std::set<size_t>& crashes) const;
+  bool HasLateBreaks() const;
   bool IsReported(const base::PartId& part) const;
   static base::Millis LastActivity(const Quarantine& quarantine);
   base::Millis NextTrialAt(const Quarantine& quarantine) const;
--- a/src/relay/answer_evidence.cc
+++ b/src/relay/answer_evidence.cc
@@ -9,6 +9,7 @@
 
 namespace dandelion::relay {
 
+using admission::BreakStage;
 using base::Millis;
 using telemetry::Emit;
 using telemetry::Event;
@@ -49,12 +50,16 @@
                            {"events", absl::StrCat(pieces_)},
                            {"shared_parts", JoinPartIds(parts)},
                            {"reason", reason}});
-  const bool crashed_at_start = (ended_in_head_ || head_at_) && pieces_ == 0;
-  if (!crashed_at_start) {
-    return false;
+  const bool begun = ended_in_head_ || head_at_;
+  if (begun && pieces_ == 0) {
+    services_.quarantine.RecordBreak(upstream_, parts, now, BreakStage::kBegun);
+    return services_.quarantine.IsSuspect(parts, now);
   }
-  services_.quarantine.RecordBreak(upstream_, parts, now);
-  return services_.quarantine.IsSuspect(parts, now);
+  if (begun && !sound_ && head_age < kSoundAnswerTime) {
+    services_.quarantine.RecordBreak(upstream_, parts, now,
+                                     BreakStage::kContentSent);
+  }
+  return false;
 }
 
 }  // namespace dandelion::relay
--- a/src/relay/answer_evidence.h
+++ b/src/relay/answer_evidence.h
@@ -32,8 +32,9 @@
   /// Records that the answer is complete and a success.
   void RecordComplete(base::Millis now);
   /// Records that the upstream broke the answer off for `reason`, which is
-  /// written to the log. Returns whether a part of the prompt may be the cause,
-  /// so that the request should not be sent to a second engine.
+  /// written to the log. Returns whether a part of the prompt is the likely
+  /// cause, so that the request should not be sent to a second engine: the
+  /// answer had begun, but no content had arrived.
   bool RecordBreak(const std::string& reason, base::Millis now);
 
  private:
--- a/test/forward-parts-test.cc
+++ b/test/forward-parts-test.cc
@@ -1,9 +1,11 @@
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "relay/answer_evidence.h"
 #include "test/forward-support.h"
 
 namespace dandelion::test {
@@ -38,8 +40,17 @@
       (void)co_await exchange.StartStream(std::move(head));
       const std::string parts(
           exchange.request().headers.Find("X-Dandeliondyke-Prefix-Hash"));
-      if (parts.find(kCrashingPart) != std::string::npos) {
+      if (parts.find(kCrashingPart) != std::string::npos &&
+          !(crashes_once && crashes > 0)) {
         ++crashes;
+        if (!content.empty()) {
+          (void)co_await exchange.Write(content);
+          while (HasUnprocessedPrompt()) {
+            co_await base::SleepFor(Millis(1));
+          }
+          AdvanceClock(answers_for);
+          (void)co_await exchange.Write(EventText(2));
+        }
         // The connection's end then looks like the end of an empty answer.
         if (ends_cleanly) {
           (void)co_await exchange.Finish();
@@ -53,12 +64,21 @@
     };
   }
 
+  /// Whether the daemon waits for the first event of a generation.
+  bool HasUnprocessedPrompt() const {
+    const auto loads_now = loads.own_loads();
+    return std::any_of(loads_now.begin(), loads_now.end(), [](const auto& own) {
+      return own.second.unread_tokens > 0;
+    });
+  }
+
   /// Sends a request whose prompt has the shared parts, and a last part of its
   /// own. Requests come a second apart.
   http::Response Send(const std::string& shared_parts) {
     AdvanceClock(Millis(1000));
     const std::string id = "r-" + std::to_string(++requests);
     http::Request request = CallerRequestFor("draft", id);
+    request.headers.Add("X-Dandeliondyke-Token-Count", "100,50");
     request.headers.Add("X-Dandeliondyke-Prefix-Hash",
                         shared_parts + "," + id + ":20");
     return SendRequestOrThrow(std::move(request));
@@ -67,6 +87,10 @@
   int requests = 0;
   int crashes = 0;
   bool ends_cleanly = false;
+  /// What is sent before a crash, and for how long the answer has run then.
+  std::string content;
+  Millis answers_for{0};
+  bool crashes_once = false;
 };
 
 TEST_CASE("requests with a part that crashes engines keep reaching engines",
@@ -114,18 +138,19 @@
     }
   }
 
+  /// Returns the status of the answer, or 0 if it broke off.
   int SendCrashing() {
     AdvanceClock(Millis(1000));
     http::Request request = CallerRequestFor("draft", "r-1");
     request.headers.Add("X-Dandeliondyke-Prefix-Hash",
                         "ca11e4:80," + kCrashingPart + ":40,last:20");
-    const int status = SendRequestOrThrow(std::move(request)).status;
+    const auto response = SendRequest(std::move(request));
     for (RawUpstream* upstream : raw) {
       if (upstream->connections() > 0) {
         upstream->Close();  // It crashed and does not come back.
       }
     }
-    return status;
+    return response.ok() ? response->status : 0;
   }
   int Sends() const {
     int sends = 0;
@@ -172,6 +197,53 @@
   CHECK(fixture.Sends() <= kMaxCrashes);
 }
 
+// Guards against a part that crashes engines just after the answer's first
+// events or bytes and is never quarantined.
+TEST_CASE(
+    "a part that crashes engines after the first content is never quarantined",
+    "[parts]") {
+  const bool stream = GENERATE(true, false);
+  RawAnswer answer{stream ? RawHead("r-1", "Transfer-Encoding: chunked\r\n") +
+                                "f\r\n" + EventText(1) + "\r\n"
+                          : RawHead("r-1", "Content-Length: 9\r\n") + "part"};
+  answer.reset = GENERATE(false, true);
+  RawCrashFixture fixture(
+      stream ? RequestKind::kGeneration : RequestKind::kIdempotent, answer);
+  int status = 0;
+  for (int i = 0; i < kEngines; ++i) {
+    status = fixture.SendCrashing();
+  }
+  CHECK(status == kUnavailable);
+  CHECK(fixture.Sends() <= kMaxCrashes);
+}
+
+// Guards against sound parts that are rejected because engines are cut off or
+// restart after they have answered for a while.
+TEST_CASE("an engine that ends in the middle of an answer accuses a part",
+          "[parts]") {
+  CrashFixture fixture;
+  fixture.content = EventText(1);
+  fixture.answers_for = relay::AnswerEvidence::kSoundAnswerTime;
+  for (int i = 0; i < kEngines; ++i) {
+    CHECK_THROWS(fixture.Send("ca11e4:80," + kCrashingPart + ":40"));
+  }
+  CHECK(fixture.crashes == kEngines);
+  CHECK(fixture.quarantine.quarantine_count() == 0);
+}
+
+// Guards against streams that are given up, though another engine can go on,
+// because an engine crashed while they were young.
+TEST_CASE("a young stream that an engine's crash broke is not resumed",
+          "[parts]") {
+  CrashFixture fixture(true);
+  fixture.content = EventText(1);
+  fixture.crashes_once = true;
+  const http::Response response =
+      fixture.Send("ca11e4:80," + kCrashingPart + ":40");
+  CHECK(response.status == 200);
+  CHECK(fixture.crashes == 1);
+}
+
 // Guards against sound parts that are rejected because engines restart before
 // they answer, garble heads or send only interim ones.
 TEST_CASE("engines that end without a begun head accuse a part", "[parts]") {
--- a/test/ordered-stop-test.cc
+++ b/test/ordered-stop-test.cc
@@ -37,7 +37,9 @@
       }
       return KvCacheCopyResult{KvCacheCopyOutcome::kCopied, "h-1", 1};
     };
-    StartRequest(CallerRequestFor("draft", "r-1"),
+    http::Request request = CallerRequestFor("draft", "r-1");
+    request.headers.Add("X-Dandeliondyke-Prefix-Hash", "ca11e4:80,last:20");
+    StartRequest(std::move(request),
                  [this](absl::StatusOr<http::Response> received) {
                    response = std::move(received);
                  });
@@ -129,6 +131,17 @@
   CHECK(fixture.health.FailureRate(kSource) == 0);
 }
 
+// Guards against parts that are accused because a migration stopped a young
+// stream.
+TEST_CASE("a stream that was stopped accuses a part", "[moving]") {
+  OrderedStopFixture fixture(GENERATE(false, true));
+  fixture.engines.hold_final_copies = GENERATE(false, true);
+  fixture.MoveToEnd();
+  REQUIRE(fixture.response->ok());
+  CHECK_FALSE(
+      fixture.quarantine.IsSuspect({base::PartId("ca11e4")}, fixture.Now()));
+}
+
 // Guards against a failure that is hidden by an order that stopped nothing.
 TEST_CASE("a stream that broke without being stopped is no failure",
           "[moving]") {
--- a/test/quarantine-test.cc
+++ b/test/quarantine-test.cc
@@ -54,6 +54,10 @@
   void Break(int upstream, const PartList& parts) {
     quarantine.RecordBreak(Upstream(upstream), parts, now);
   }
+  void LateBreak(int upstream, const PartList& parts) {
+    quarantine.RecordBreak(Upstream(upstream), parts, now,
+                           BreakStage::kContentSent);
+  }
   void Sound(const PartList& parts) { quarantine.RecordSound(parts, now); }
   bool Rejects(const PartList& parts) const {
     return quarantine.FindQuarantined(parts, now).has_value();
@@ -147,6 +151,79 @@
   CHECK_FALSE(daemon.IsSuspect(Parts({"shared"})));
 }
 
+// Guards against a part that crashes engines just after the first events and
+// is never rejected.
+TEST_CASE("a part that crashes engines after the first events is let through",
+          "[quarantine]") {
+  DaemonFleet fleet(3);
+  for (int i = 0; i < 4; ++i) {
+    CHECK_FALSE(fleet.AnyRejects(Parts({"bad"})));
+    // Half of the engines come back under the same name.
+    fleet[static_cast<size_t>(i) % 3].LateBreak(i % 2,
+                                                Parts({"caller", "bad"}));
+    fleet[0].Sound(Parts({"caller"}));
+    fleet.Advance(kSecond * 3);
+  }
+  CHECK(fleet.AllReject(Parts({"caller", "bad"})));
+  CHECK_FALSE(fleet.AnyRejects(Parts({"caller"})));
+}
+
+// Guards against rare parts that are rejected because engines crashed for other
+// reasons while their answers were young.
+TEST_CASE("crashes after the first events soon reject a part", "[quarantine]") {
+  Daemon daemon;
+  SECTION("three engines") {
+    for (int i = 0; i < 3; ++i) {
+      daemon.LateBreak(i, Parts({"rare"}));
+      daemon.Advance(kSecond * 3);
+    }
+  }
+  SECTION("one engine that crashes again and again") {
+    for (int i = 0; i < 8; ++i) {
+      daemon.LateBreak(1, Parts({"rare"}));
+      daemon.Advance(kSecond * 3);
+    }
+  }
+  SECTION("all engines at once") {
+    for (int i = 0; i < 8; ++i) {
+      daemon.LateBreak(i, Parts({"rare"}));
+    }
+    daemon.Advance(kSecond * 3);
+  }
+  SECTION("crashes of which another part is the cause") {
+    for (int i = 0; i < 5; ++i) {
+      daemon.Break(i, Parts({"bad"}));
+      daemon.LateBreak(i, Parts({"rare"}));
+      daemon.Advance(kSecond * 3);
+    }
+    CHECK(daemon.Rejects(Parts({"bad"})));
+  }
+  CHECK_FALSE(daemon.Rejects(Parts({"rare"})));
+}
+
+// Guards against crashes that are forgotten because many young answers broke.
+TEST_CASE("late breaks displace evidence of early ones", "[quarantine]") {
+  Daemon daemon;
+  for (int crash = 0; crash < 2; ++crash) {
+    for (size_t i = 0; i < PartQuarantine::kMaxRequestsPerCrash; ++i) {
+      daemon.LateBreak(crash, Parts({absl::StrCat("p", i).c_str()}));
+    }
+    daemon.Break(crash, Parts({"bad"}));
+    daemon.Advance(kSecond);
+  }
+  CHECK(daemon.Rejects(Parts({"bad"})));
+  for (int i = 0; i < 100; ++i) {
+    daemon.LateBreak(10 + i, Parts({absl::StrCat("q", i).c_str()}));
+    daemon.Advance(kSecond);
+  }
+  const PartEvidence evidence =
+      daemon.quarantine.CollectEvidence(true, daemon.now);
+  CHECK(std::count_if(evidence.crashes.begin(), evidence.crashes.end(),
+                      [](const PartEvidence::Crash& crash) {
+                        return crash.requests.contains(Parts({"bad"}));
+                      }) == 2);
+}
+
 TEST_CASE("one failing upstream is no evidence against a part",
           "[quarantine]") {
   Daemon daemon;
