--- a/test/forward-parts-test.cc
+++ b/test/forward-parts-test.cc
@@ -49,7 +49,9 @@
             co_await base::SleepFor(Millis(1));
           }
           AdvanceClock(answers_for);
-          (void)co_await exchange.Write(EventText(2));
+          if (goes_on) {
+            (void)co_await exchange.Write(EventText(2));
+          }
         }
         // The connection's end then looks like the end of an empty answer.
         if (ends_cleanly) {
@@ -90,6 +92,8 @@
   /// What is sent before a crash, and for how long the answer has run then.
   std::string content;
   Millis answers_for{0};
+  /// Whether more content is sent after that time.
+  bool goes_on = true;
   bool crashes_once = false;
 };
 
@@ -224,6 +228,7 @@
   CrashFixture fixture;
   fixture.content = EventText(1);
   fixture.answers_for = relay::AnswerEvidence::kSoundAnswerTime;
+  fixture.goes_on = GENERATE(true, false);
   for (int i = 0; i < kEngines; ++i) {
     CHECK_THROWS(fixture.Send("ca11e4:80," + kCrashingPart + ":40"));
   }
