Do not accuse a prompt's parts of answers that this daemon cut off

Callers saw: sound parts rejected with 503 after engines sent a body that is no answer, or an event that does not end, to two requests with them.

Cause: a break after the head was evidence whoever ended the connection: the engine, the parser or the limit of an event's length. Evidence: the tests, with stream and plain requests.

Change: Connection::EndedByPeer replaces EndedInHead and also covers bodies. A failed read counts only if the upstream ended the connection, an event that is too long never does.

Ruled out: that crashes are shielded less. The parser reports a connection that ends within a chunk or a length as such, and resets are told apart; the tests of crashes hold.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -93,7 +93,7 @@
       const auto [error, size] = co_await bhttp::async_read_header(
           stream_, buffer_, *parser_, kNoThrow);
       if (error) {
-        ended_in_head_ = parser_->got_some() && IsEndByPeer(error);
+        ended_by_peer_ = parser_->got_some() && IsEndByPeer(error);
         co_return ConnectionError(endpoint_, error);
       }
       const unsigned status = parser_->get().result_int();
@@ -129,6 +129,7 @@
       const auto [error, size] =
           co_await bhttp::async_read_some(stream_, buffer_, *parser_, kNoThrow);
       if (error && error != bhttp::error::need_buffer) {
+        ended_by_peer_ = IsEndByPeer(error);
         co_return ConnectionError(endpoint_, error);
       }
       const size_t received = read_buffer_.size() - body.size;
@@ -144,7 +145,7 @@
     return parser_->is_header_done() && parser_->need_eof();
   }
 
-  bool EndedInHead() const override { return ended_in_head_; }
+  bool EndedByPeer() const override { return ended_by_peer_; }
 
   bool MayHaveBeenSent() const override { return may_have_been_sent_; }
 
@@ -190,7 +191,7 @@
   bool skip_body_ = false;
   bool may_have_been_sent_ = false;
   bool response_complete_ = false;
-  bool ended_in_head_ = false;
+  bool ended_by_peer_ = false;
 };
 
 Task<absl::StatusOr<Response>> SendAndReadResponse(Connection& connection,
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -38,9 +38,9 @@
   /// Whether the body of the response has neither a length nor chunks, so that
   /// it ends with the connection.
   virtual bool BodyEndsWithConnection() const = 0;
-  /// Whether the server ended the connection after the first byte of a
-  /// response's head and before its last.
-  virtual bool EndedInHead() const = 0;
+  /// Whether the last read failed because the server ended the connection after
+  /// the first byte of a response and before its last.
+  virtual bool EndedByPeer() const = 0;
   /// Whether any byte of the request may have reached the server.
   virtual bool MayHaveBeenSent() const = 0;
   /// Whether a complete response was read and the connection may carry another
--- a/src/relay/answer_evidence.h
+++ b/src/relay/answer_evidence.h
@@ -2,8 +2,10 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 
 #include "base/clock.h"
+#include "http/client.h"
 #include "relay/forward_call.h"
 #include "relay/forwarder.h"
 
@@ -27,6 +29,11 @@
   void RecordEndInHead() { ended_in_head_ = true; }
   /// Records that the complete head has arrived.
   void RecordHead(base::Millis now) { head_at_ = now; }
+  /// Records that this daemon ended the answer, whose end is no evidence then.
+  void RecordOwnEnd() { ended_from_here_ = true; }
+  /// Records that reading the answer failed. That is evidence only if the
+  /// upstream ended the connection, not if the bytes were no answer.
+  void RecordFailedRead(const http::Connection& connection);
   /// Records that an event, or a piece of a plain body, has arrived.
   void RecordContent(base::Millis now);
   /// Records that the answer is complete and a success.
@@ -44,6 +51,7 @@
   ForwardCallPtr call_;
   base::UpstreamId upstream_;
   bool ended_in_head_ = false;
+  bool ended_from_here_ = false;
   std::optional<base::Millis> head_at_;
   int64_t pieces_ = 0;
   /// The engine kept running after it began to answer.
--- a/src/relay/plain_forward.cc
+++ b/src/relay/plain_forward.cc
@@ -37,6 +37,7 @@
     const absl::StatusOr<std::string_view> piece =
         co_await connection.ReadSome(timeout);
     if (!piece.ok()) {
+      evidence.RecordFailedRead(connection);
       body.broken = true;
       co_return body;
     }
@@ -194,6 +195,7 @@
     result.end = call->EndReasonOr(SendOutcome::kBroken);
     result.reason = std::string(piece.status().message());
     if (result.end == SendOutcome::kBroken) {
+      evidence.RecordFailedRead(connection);
       evidence.RecordBreak(result.reason, services.clock.Now());
     }
     co_return result;
@@ -232,6 +234,7 @@
   }
   if (!piece.ok() &&
       call->EndReasonOr(SendOutcome::kBroken) == SendOutcome::kBroken) {
+    evidence.RecordFailedRead(connection);
     evidence.RecordBreak(kIncompleteReason, services.clock.Now());
   }
   result.reason = written.ok()
--- a/src/relay/stream_forward.cc
+++ b/src/relay/stream_forward.cc
@@ -276,6 +276,7 @@
           co_await reply.connection->ReadSome(
               call_->OperationTimeout(services_.clock.Now()));
       if (!piece.ok()) {
+        evidence_->RecordFailedRead(*reply.connection);
         co_return co_await StreamBroke(std::string(piece.status().message()));
       }
       if (piece->empty()) {
@@ -286,6 +287,7 @@
         co_return call_->EndReasonOr(SendOutcome::kCallerGone);
       }
       if (splitter_.incomplete().size() > kMaxEventBytes) {
+        evidence_->RecordOwnEnd();
         co_return co_await StreamBroke(
             "an event of the stream exceeds the size limit");
       }
--- a/src/relay/upstream_call.cc
+++ b/src/relay/upstream_call.cc
@@ -132,7 +132,7 @@
   }
   if (!head.ok()) {
     reply.reason = std::string(head.status().message());
-    reply.ended_in_head = reply.connection->EndedInHead();
+    reply.ended_in_head = reply.connection->EndedByPeer();
     co_return reply;
   }
   reply.head = *std::move(head);
--- a/test/forward-parts-test.cc
+++ b/test/forward-parts-test.cc
@@ -236,6 +236,18 @@
   CHECK(fixture.quarantine.quarantine_count() == 0);
 }
 
+// Guards against sound parts that are rejected because the daemon closes
+// connections on which an event does not end.
+TEST_CASE("an event without end accuses a part", "[parts]") {
+  RawAnswer answer{RawHead("r-1", "Connection: close\r\n")};
+  answer.repeated = std::string(size_t{64} * 1024, 'x');
+  RawCrashFixture fixture(RequestKind::kGeneration, answer);
+  for (int i = 0; i < kEngines; ++i) {
+    CHECK(fixture.SendCrashing() == 502);
+  }
+  CHECK(fixture.quarantine.quarantine_count() == 0);
+}
+
 // Guards against streams that are given up, though another engine can go on,
 // because an engine crashed while they were young.
 TEST_CASE("a young stream that an engine's crash broke is not resumed",
@@ -252,9 +264,10 @@
 // Guards against sound parts that are rejected because engines restart before
 // they answer, garble heads or send only interim ones.
 TEST_CASE("engines that end without a begun head accuse a part", "[parts]") {
-  const RawAnswer answer{GENERATE(as<std::string>(), "",
-                                  "HTTP/1.1 100 Continue\r\n\r\n",
-                                  "not an answer\r\n\r\n")};
+  const std::string head = RawHead("r-1", "Transfer-Encoding: chunked\r\n");
+  RawAnswer answer{GENERATE_COPY(
+      std::string(), std::string("HTTP/1.1 100 Continue\r\n\r\n"),
+      std::string("not an answer\r\n\r\n"), head + "no size\r\n")};
   RawCrashFixture fixture(
       GENERATE(RequestKind::kGeneration, RequestKind::kIdempotent), answer);
   for (int i = 0; i < kEngines; ++i) {
