--- a/test/forward-support.cc
+++ b/test/forward-support.cc
@@ -432,6 +432,11 @@
   };
 }
 
+Task<void> RespondWithAnswer(http::Exchange& exchange) {
+  http::Response response = SealedResponse(exchange.request(), "answer");
+  (void)co_await exchange.Respond(std::move(response));
+}
+
 Task<void> RejectNotRun(http::Exchange& exchange) {
   http::Response response = SealedResponse(exchange.request(), "full");
   response.status = 503;
--- a/test/forward-support.h
+++ b/test/forward-support.h
@@ -202,6 +202,8 @@
 /// Streams the events after `Last-Event-Id` up to `last`, then ends the stream
 /// or breaks it.
 http::Handler StreamUpTo(int64_t last, bool complete);
+/// Answers a request completely.
+base::Task<void> RespondWithAnswer(http::Exchange& exchange);
 /// Rejects a request as an upstream that is full.
 base::Task<void> RejectNotRun(http::Exchange& exchange);
 
--- a/test/forward-test.cc
+++ b/test/forward-test.cc
@@ -12,11 +12,6 @@
 using base::Task;
 using fleet::RequestKind;
 
-Task<void> RespondWithAnswer(http::Exchange& exchange) {
-  http::Response response = SealedResponse(exchange.request(), "answer");
-  (void)co_await exchange.Respond(std::move(response));
-}
-
 TEST_CASE("a plain request and its answer are passed on completely",
           "[forward]") {
   ForwardFixture fixture("read", RequestKind::kIdempotent);
