--- a/test/raw-bytes-support.h
+++ b/test/raw-bytes-support.h
@@ -15,7 +15,8 @@
 /// Longer than any test waits.
 inline constexpr base::Millis kLongTime{60'000};
 
-/// Publishes a route on which a request may run twice or a stream may be resumed.
+/// Publishes a route on which a request may run twice or a stream may be
+/// resumed.
 inline void PublishRetryableRoute(ForwardFixture& fixture,
                                   fleet::RequestKind kind) {
   fleet::Route& route = fixture.AddRoute("draft", kind);
