Do not end the process for an ID that JSON can't hold, nor for any task

An ID with a byte that is not UTF-8 makes the JSON library throw; the exception left a detached task and the event loop, and the daemon aborted with all requests of its other callers.

Change: such a generation is not copied and its migration is given up; it runs to its end at its engine. Sending the ID transcoded was ruled out, since it may name another request there. The event loops of both daemons go on after an exception that leaves a task or a handler and log it (event 110); the tasks of services are started again.

--- a/src/admission/slot_service.cc
+++ b/src/admission/slot_service.cc
@@ -145,7 +145,7 @@
       wake_(executor) {}
 
 void SlotService::Start() {
-  base::Spawn(executor_, RunRounds());
+  base::SpawnRestarting(executor_, [this] { return RunRounds(); });
 }
 
 Task<void> SlotService::RunRounds() {
@@ -214,7 +214,7 @@
     const SlotLimits limits{upstream.slots, upstream.cold_slots};
     owner_.AddUpstream(id, limits, /*no_prior_leases=*/false);
     if (polling_.insert(id).second) {
-      base::Spawn(executor_, PollReports(id));
+      base::SpawnRestarting(executor_, [this, id] { return PollReports(id); });
     }
   }
 }
--- a/src/base/task.h
+++ b/src/base/task.h
@@ -5,9 +5,12 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <chrono>
+#include <functional>
+#include <string_view>
 
 #include "base/clock.h"
 
@@ -35,7 +38,7 @@
 }
 
 /// Starts `task` on `executor`. Tasks report failures by value; an exception
-/// that leaves `task` is rethrown on the executor and ends the process.
+/// that leaves `task` ends it and is rethrown on the executor.
 inline void Spawn(const Executor& executor, Task<void> task) {
   boost::asio::co_spawn(executor, std::move(task),
                         [](std::exception_ptr error) {
@@ -45,4 +48,15 @@
                         });
 }
 
+/// Starts the task that `make_task` returns on `executor`. If an exception
+/// leaves it, reports that as `Spawn` does and starts a new one after a pause,
+/// so that an error that nobody expected does not end a service for good.
+void SpawnRestarting(const Executor& executor,
+                     std::function<Task<void>()> make_task);
+
+/// Runs `context` until it stops or has no work. An exception that leaves a
+/// task or a handler ends only that one and is passed to `on_exception`.
+void RunLoop(boost::asio::io_context& context,
+             const std::function<void(std::string_view)>& on_exception);
+
 }  // namespace dandelion::base
--- a/src/claims/claim_service.cc
+++ b/src/claims/claim_service.cc
@@ -34,7 +34,7 @@
       hooks_(std::move(hooks)) {}
 
 void ClaimService::Start() {
-  base::Spawn(executor_, ReadLoop());
+  base::SpawnRestarting(executor_, [this] { return ReadLoop(); });
 }
 
 Task<void> ClaimService::ReadLoop() {
@@ -72,7 +72,7 @@
   queued_steps_.push_back(QueuedStep{std::move(step), std::move(wait)});
   if (!appending_) {
     appending_ = true;
-    base::Spawn(executor_, AppendLoop());
+    base::SpawnRestarting(executor_, [this] { return AppendLoop(); });
   }
 }
 
--- a/src/config/config_service.cc
+++ b/src/config/config_service.cc
@@ -23,7 +23,7 @@
       hooks_(std::move(hooks)) {}
 
 void ConfigService::Start() {
-  base::Spawn(executor_, ReadLoop());
+  base::SpawnRestarting(executor_, [this] { return ReadLoop(); });
 }
 
 Offset ConfigService::version() const {
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -400,7 +400,8 @@
       return ListenError(acceptor_.local_endpoint(), error);
     }
     listening_ = true;
-    base::Spawn(executor_, AcceptLoop(shared_from_this()));
+    base::SpawnRestarting(
+        executor_, [self = shared_from_this()] { return AcceptLoop(self); });
     return absl::OkStatus();
   }
 
--- a/src/kernel/daemon.cc
+++ b/src/kernel/daemon.cc
@@ -233,7 +233,7 @@
 
   std::function<absl::Status()> SpawnHook(std::function<Task<void>()> task) {
     return [this, task] {
-      base::Spawn(executor_, task());
+      base::SpawnRestarting(executor_, task);
       return absl::OkStatus();
     };
   }
--- a/src/kernel/fleet_daemon.cc
+++ b/src/kernel/fleet_daemon.cc
@@ -218,12 +218,15 @@
   }
 
   absl::Status StartTasks() {
-    base::Spawn(executor_, follower_.FollowTopic(Topic::kOperator));
-    base::Spawn(executor_, follower_.FollowTopic(Topic::kUpstreams));
-    base::Spawn(executor_, JoinMesh());
-    base::Spawn(executor_, RunPeriodicTasks());
-    base::Spawn(executor_, PollEngineReports());
-    base::Spawn(executor_, loop_monitor_.Run());
+    const auto start = [this](std::function<Task<void>()> make_task) {
+      base::SpawnRestarting(executor_, std::move(make_task));
+    };
+    start([this] { return follower_.FollowTopic(Topic::kOperator); });
+    start([this] { return follower_.FollowTopic(Topic::kUpstreams); });
+    start([this] { return JoinMesh(); });
+    start([this] { return RunPeriodicTasks(); });
+    start([this] { return PollEngineReports(); });
+    start([this] { return loop_monitor_.Run(); });
     return absl::OkStatus();
   }
 
--- a/src/main.cc
+++ b/src/main.cc
@@ -11,7 +11,9 @@
 #include <memory>
 #include <string>
 
+#include "absl/cleanup/cleanup.h"
 #include "base/process_end.h"
+#include "base/task.h"
 #include "kernel/daemon.h"
 #include "kernel/settings.h"
 #include "telemetry/events.h"
@@ -31,9 +33,10 @@
 base::Task<void> DrainAndStop(kernel::Daemon& daemon,
                               boost::asio::io_context& context,
                               int* exit_code) {
+  const absl::Cleanup stop = [&context] { context.stop(); };
+  *exit_code = kExitDrainIncomplete;
   const bool finished = co_await daemon.Drain();
   *exit_code = finished ? kExitStopped : kExitDrainIncomplete;
-  context.stop();
 }
 
 // Runs the daemon until it is told to stop by SIGTERM or SIGINT, which drain
@@ -68,7 +71,11 @@
   };
   wait_for_signal();
   tbb::task_arena arena;
-  arena.execute([&] { context.run(); });
+  arena.execute([&] {
+    base::RunLoop(context, [](std::string_view reason) {
+      Emit(Event::kTaskFailed, {{"reason", std::string(reason)}});
+    });
+  });
   base::EndProcess(exit_code);
 }
 
--- a/src/membership/transport.cc
+++ b/src/membership/transport.cc
@@ -108,8 +108,10 @@
   }
 
   void Start() {
-    base::Spawn(executor_, Receive(shared_from_this()));
-    base::Spawn(executor_, Authenticate(shared_from_this()));
+    base::SpawnRestarting(
+        executor_, [self = shared_from_this()] { return Receive(self); });
+    base::SpawnRestarting(
+        executor_, [self = shared_from_this()] { return Authenticate(self); });
   }
 
   size_t Send(const base::HostId& to, const proto::Envelope& message) {
--- a/src/migration/copy_step.cc
+++ b/src/migration/copy_step.cc
@@ -22,6 +22,8 @@
     case relay::KvCacheCopyOutcome::kTargetUnavailable:
     case relay::KvCacheCopyOutcome::kUnknown:
       return have_copy ? CopyStep::kKeepCopy : CopyStep::kOtherTarget;
+    case relay::KvCacheCopyOutcome::kInexpressibleId:
+      return CopyStep::kGiveUp;
   }
   return CopyStep::kOtherTarget;
 }
--- a/src/migration/copy_step.h
+++ b/src/migration/copy_step.h
@@ -16,6 +16,8 @@
   kWait,
   /// Choose another target engine.
   kOtherTarget,
+  /// End the migration; no engine can copy this generation.
+  kGiveUp,
   /// Keep the copy that exists. Once the source's stream breaks, the generation
   /// continues from it.
   kKeepCopy,
--- a/src/migration/migrator.cc
+++ b/src/migration/migrator.cc
@@ -5,7 +5,6 @@
 
 #include "absl/cleanup/cleanup.h"
 #include "absl/strings/str_cat.h"
-#include "migration/copy_step.h"
 #include "telemetry/events.h"
 
 namespace dandelion::migration {
@@ -40,6 +39,8 @@
       return "no_room";
     case KvCacheCopyOutcome::kUnknown:
       return "unknown";
+    case KvCacheCopyOutcome::kInexpressibleId:
+      return "inexpressible_id";
   }
   return "unknown";
 }
@@ -48,7 +49,8 @@
 // generation for it.
 bool DidNotStop(KvCacheCopyOutcome outcome) {
   return outcome == KvCacheCopyOutcome::kNoGeneration ||
-         outcome == KvCacheCopyOutcome::kBusy;
+         outcome == KvCacheCopyOutcome::kBusy ||
+         outcome == KvCacheCopyOutcome::kInexpressibleId;
 }
 
 // The engine that runs `generation`, without a reservation: a generation that
@@ -118,8 +120,12 @@
       co_await base::SleepFor(kRetryPause);
       continue;
     }
-    const bool ready = co_await CopyWhileRunning(generation, source, &excluded);
-    if (ready && !generation->ended) {
+    const CopyStep next =
+        co_await CopyWhileRunning(generation, source, &excluded);
+    if (next == CopyStep::kGiveUp) {
+      break;
+    }
+    if (next == CopyStep::kStopAndCopy && !generation->ended) {
       co_await StopAndCopy(generation);
       break;
     }
@@ -132,14 +138,14 @@
                           {"ended", generation->ended ? "1" : "0"}});
 }
 
-Task<bool> Migrator::CopyWhileRunning(GenerationPtr generation,
-                                      UpstreamId source,
-                                      std::set<UpstreamId>* excluded) {
+Task<CopyStep> Migrator::CopyWhileRunning(GenerationPtr generation,
+                                          UpstreamId source,
+                                          std::set<UpstreamId>* excluded) {
   if (!generation->copy) {
     std::optional<Place> target = hooks_.choose(*generation, *excluded);
     if (!target) {
       co_await base::SleepFor(kNoCapacityPause);
-      co_return false;
+      co_return CopyStep::kWait;
     }
     generation->copy.emplace();
     generation->copy->place = *std::move(target);
@@ -159,18 +165,22 @@
                            {"took_ms", absl::StrCat(took.count())},
                            {"events", absl::StrCat(result.events_produced)}});
   if (!generation->copy || generation->place.upstream != source) {
-    co_return false;  // The stream broke and was resumed from the copy.
+    // The stream broke and was resumed from the copy.
+    co_return CopyStep::kWait;
   }
   if (!result.handle.empty()) {
     generation->copy->cache = {source_address, result.handle};
     generation->copy->place.reservation.MarkKvCacheArrived();
   }
   const bool have_copy = !generation->copy->cache.handle.empty();
-  switch (ChooseNextStep(result.outcome, took, have_copy)) {
+  const CopyStep next = ChooseNextStep(result.outcome, took, have_copy);
+  switch (next) {
     case CopyStep::kStopAndCopy:
-      co_return true;
     case CopyStep::kCopyAgain:
       break;
+    case CopyStep::kGiveUp:
+      generation->copy.reset();
+      break;
     case CopyStep::kWait:
       co_await base::SleepFor(kRetryPause);
       break;
@@ -182,7 +192,7 @@
       co_await base::SleepFor(kNoCapacityPause);
       break;
   }
-  co_return false;
+  co_return next;
 }
 
 Task<void> Migrator::StopAndCopy(GenerationPtr generation) {
--- a/src/migration/migrator.h
+++ b/src/migration/migrator.h
@@ -9,6 +9,7 @@
 #include "base/clock.h"
 #include "base/task.h"
 #include "migration/active_generation.h"
+#include "migration/copy_step.h"
 
 namespace dandelion::migration {
 
@@ -56,11 +57,11 @@
  private:
   base::Task<void> Migrate(GenerationPtr generation, std::string reason);
   /// Chooses a target if there is none yet and copies the KV cache there once
-  /// without stopping the generation. Returns true if the final copy should
-  /// follow. Adds targets that failed to `excluded`.
-  base::Task<bool> CopyWhileRunning(GenerationPtr generation,
-                                    base::UpstreamId source,
-                                    std::set<base::UpstreamId>* excluded);
+  /// without stopping the generation. Returns the next step, after the pause
+  /// that it asks for. Adds targets that failed to `excluded`.
+  base::Task<CopyStep> CopyWhileRunning(GenerationPtr generation,
+                                        base::UpstreamId source,
+                                        std::set<base::UpstreamId>* excluded);
   /// Stops the generation and makes the final copy.
   base::Task<void> StopAndCopy(GenerationPtr generation);
 
--- a/src/relay/platform_protocol.h
+++ b/src/relay/platform_protocol.h
@@ -112,6 +112,8 @@
   KvCacheCopyOutcome outcome = KvCacheCopyOutcome::kUnknown;
   /// Names the copy; empty if there is none. May also be set with
   /// `kTargetUnavailable`.
+  /// The generation's ID can't be written in a copy order; none was sent.
+  kInexpressibleId,
   std::string handle;
   /// Number of events that the engine had generated.
   int64_t events_produced = 0;
--- a/src/telemetry/events.cc
+++ b/src/telemetry/events.cc
@@ -31,6 +31,7 @@
     EventRow{Event::kConnectionsDropped, Level::kWarning,
              "connections_dropped"},
     EventRow{Event::kHandlerFailed, Level::kError, "handler_failed"},
+    EventRow{Event::kTaskFailed, Level::kError, "task_failed"},
     EventRow{Event::kConfigInstalled, Level::kInfo, "config_installed"},
     EventRow{Event::kConfigRejected, Level::kWarning, "config_rejected"},
     EventRow{Event::kConfigGap, Level::kWarning, "config_gap"},
--- a/src/telemetry/events.h
+++ b/src/telemetry/events.h
@@ -20,6 +20,7 @@
   kRequestCut = 107,
   kConnectionsDropped = 108,
   kHandlerFailed = 109,
+  kTaskFailed = 110,
   kConfigInstalled = 200,
   kConfigRejected = 201,
   kConfigGap = 202,
--- a/test/decisions-test.cc
+++ b/test/decisions-test.cc
@@ -33,6 +33,13 @@
         CopyStep::kStopAndCopy);
 }
 
+TEST_CASE("a migration goes on though no engine can copy the generation",
+          "[moving]") {
+  const bool have_copy = GENERATE(true, false);
+  CHECK(ChooseNextStep(KvCacheCopyOutcome::kInexpressibleId, Millis(0),
+                       have_copy) == CopyStep::kGiveUp);
+}
+
 TEST_CASE("a copy is kept if its source engine is gone", "[moving]") {
   CHECK(ChooseNextStep(KvCacheCopyOutcome::kUnknown, Millis(900), true) ==
         CopyStep::kKeepCopy);
