Do not take an upstream that refuses a version for one that has ended

An engine also answers 421 to a caller that requires another version of the weights, so one such caller took the whole pool from all others.

Change: an answer with 421 that names its upstream shows that the address has another one only if the name differs; one without a name only if the caller required no version. Any other counts as not run by this upstream.

Measured: "one caller's version takes the upstreams from all others" fails on (503 for 6 of 6 requests beside it, named and unnamed) and passes now; an address that another upstream has is still left at once.

--- a/src/relay/platform_protocol.h
+++ b/src/relay/platform_protocol.h
@@ -33,6 +33,9 @@
   std::optional<int64_t> expected_output_tokens;
   /// The caller resumes a stream after the event of this number.
   std::optional<int64_t> after_event;
+  /// The caller accepts only one version of the model's weights. An upstream
+  /// with another one refuses the request.
+  bool requires_version = false;
 };
 
 /// A copy of a generation's KV cache on another engine. `handle` names it at
@@ -63,8 +66,11 @@
   bool has_seal = false;
   /// The upstream states that the request did not run.
   bool not_executed = false;
-  /// Another upstream has this address now; the request did not run.
-  bool other_upstream = false;
+  /// The request was meant for another upstream or for another version of the
+  /// weights; it did not run.
+  bool misdirected = false;
+  /// The upstream that answered; empty if the answer does not name it.
+  base::UpstreamId upstream;
   /// The body has a content encoding, which a proxy between the upstream and
   /// the daemon must have added.
   bool has_content_encoding = false;
--- a/src/relay/send_once.cc
+++ b/src/relay/send_once.cc
@@ -81,6 +81,8 @@
       call->admitted.route.kind == fleet::RequestKind::kGeneration;
   UpstreamCall send;
   send.address = place.address;
+  send.upstream = place.upstream;
+  send.requires_version = call->admitted.caller.requires_version;
   send.request = services.protocol.make_upstream_request(
       call->exchange.request(), options);
   send.id = call->admitted.caller.id;
--- a/src/relay/upstream_call.cc
+++ b/src/relay/upstream_call.cc
@@ -45,11 +45,24 @@
   }
 }
 
+// Whether `answer` shows that another upstream has the address now. Without a
+// name in the answer that is assumed, unless the intended upstream may have
+// refused the version that the caller requires.
+bool IsFromOtherUpstream(const UpstreamCall& call,
+                         const UpstreamResponseHead& answer) {
+  if (!answer.misdirected) {
+    return false;
+  }
+  return answer.upstream.empty() ? !call.requires_version
+                                 : answer.upstream != call.upstream;
+}
+
 // Classifies an answer by its head. Sets `reason` unless it is `kAnswered`.
-SendOutcome ClassifyAnswer(const UpstreamResponseHead& answer,
+SendOutcome ClassifyAnswer(const UpstreamCall& call,
+                           const UpstreamResponseHead& answer,
                            int status,
                            std::string* reason) {
-  if (answer.other_upstream) {
+  if (IsFromOtherUpstream(call, answer)) {
     *reason = "the address belongs to another upstream";
     return SendOutcome::kOtherUpstream;
   }
@@ -136,7 +149,8 @@
     co_return reply;
   }
   reply.head = *std::move(head);
-  reply.end = ClassifyAnswer(reply.answer, reply.head.status, &reply.reason);
+  reply.end =
+      ClassifyAnswer(call, reply.answer, reply.head.status, &reply.reason);
   co_return reply;
 }
 
--- a/src/relay/upstream_call.h
+++ b/src/relay/upstream_call.h
@@ -16,6 +16,11 @@
 struct UpstreamCall {
   boost::asio::ip::tcp::endpoint address;
   http::Request request;
+  /// The upstream that the request is meant for.
+  base::UpstreamId upstream;
+  /// An upstream may refuse the request for its version of the weights.
+  bool requires_version = false;
+  /// The request's head.
   /// Answers that name another request are skipped, up to a limit.
   base::RequestId id;
   base::Millis connect_timeout{0};
--- a/test/unexpected-requests-test.cc
+++ b/test/unexpected-requests-test.cc
@@ -70,5 +70,56 @@
   CHECK(fixture.loads.own_loads().empty());
 }
 
+/// Refuses requests for a version of the weights, and names itself if `named`.
+http::Handler RefuseVersion(std::string id, bool named) {
+  return [id, named](http::Exchange& exchange) -> Task<void> {
+    http::Response response = SealedResponse(exchange.request(), "answer");
+    if (exchange.request().headers.Has("X-Dandeliondyke-Expect-Version")) {
+      response.status = kMisdirected;
+    }
+    if (named) {
+      response.headers.Add("X-Dandeliondyke-Instance-Id", id);
+    }
+    (void)co_await exchange.Respond(std::move(response));
+  };
+}
+
+http::Request VersionRequest(const std::string& id) {
+  http::Request request = CallerRequestFor("read", id);
+  request.headers.Add("X-Dandeliondyke-Expect-Version", "1");
+  return request;
+}
+
+TEST_CASE("one caller's version takes the upstreams from all others",
+          "[unexpected]") {
+  ForwardFixture fixture("read", RequestKind::kIdempotent, 2);
+  const bool named = GENERATE(true, false);
+  for (const std::string id : {"u-1", "u-2", "u-3"}) {
+    fixture.AddUpstream(id, "read", RefuseVersion(id, named));
+  }
+  CHECK(fixture.SendRequestOrThrow(VersionRequest("r-1")).status ==
+        kUnavailable);
+  for (int i = 2; i < 8; ++i) {
+    CHECK(fixture
+              .SendRequestOrThrow(
+                  CallerRequestFor("read", "r-" + std::to_string(i)))
+              .status == kOk);
+  }
+}
+
+// The sound neighbour of the case above: such an answer still shows that the
+// address has another upstream if it names one.
+TEST_CASE("an address that another upstream has is used again",
+          "[unexpected]") {
+  ForwardFixture fixture("read", RequestKind::kIdempotent, 2);
+  FakeUpstream& other =
+      fixture.AddUpstream("u-1", "read", RefuseVersion("u-9", true));
+  CHECK(fixture.SendRequestOrThrow(VersionRequest("r-1")).status ==
+        kUnavailable);
+  CHECK(fixture.SendRequestOrThrow(CallerRequestFor("read", "r-2")).status ==
+        kUnavailable);
+  CHECK(other.seen().size() == 1);
+}
+
 }  // namespace
 }  // namespace dandelion::test
