Hold no body for an idle connection, one per request in work, and no trailer

Change: the body and the read buffer are freed when the handler ends. The request for an upstream is a head only, and its body is sent from the caller's. The read buffer of a connection is bounded by the header limit, 64 KiB at least; what exceeds it is rejected with 431. Answers to HEAD end with their head.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -59,8 +59,12 @@
   BeastConnection(tcp::endpoint endpoint, beast::tcp_stream stream)
       : endpoint_(std::move(endpoint)), stream_(std::move(stream)) {}
 
-  Task<absl::Status> Send(const Request& request, Millis timeout) override {
-    bhttp::request<bhttp::string_body> message;
+  using Connection::Send;
+
+  Task<absl::Status> Send(const Request& request,
+                          std::string_view body,
+                          Millis timeout) override {
+    bhttp::request<bhttp::span_body<const char>> message;
     message.method_string(request.method);
     message.target(request.target);
     message.version(11);
@@ -70,7 +74,7 @@
     for (const Header& line : request.headers.lines()) {
       message.insert(line.name, line.value);
     }
-    message.body() = request.body;
+    message.body() = {body.data(), body.size()};
     message.prepare_payload();
     skip_body_ = request.method == "HEAD";
     ResetParser();
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -21,10 +21,17 @@
  public:
   virtual ~Connection() = default;
 
-  /// Sends `request`, with a `Host` header for the endpoint unless it has one.
-  /// `MayHaveBeenSent` is true as soon as the first write is attempted.
+  /// Sends `request` with `body` in place of its own body, and with a `Host`
+  /// header for the endpoint unless it has one. Both must stay valid until the
+  /// task ends. `MayHaveBeenSent` is true as soon as the first write is
+  /// attempted.
   virtual base::Task<absl::Status> Send(const Request& request,
+                                        std::string_view body,
                                         base::Millis timeout) = 0;
+  /// Sends `request` with its own body.
+  base::Task<absl::Status> Send(const Request& request, base::Millis timeout) {
+    return Send(request, request.body, timeout);
+  }
   /// Reads the status line and headers of the response; the returned body is
   /// empty. After a response has been read to its end, reads the head of the
   /// next one on the same connection. Interim responses are skipped.
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -43,7 +43,8 @@
 }
 
 Response RejectionFor(const boost::system::error_code& error) {
-  if (error == bhttp::error::header_limit) {
+  if (error == bhttp::error::header_limit ||
+      error == bhttp::error::buffer_overflow) {
     return Rejection(431, "header_too_large", "send smaller headers");
   }
   if (error == bhttp::error::body_limit) {
@@ -79,6 +80,13 @@
     message.prepare_payload();
     response_started_ = true;
     SetTimeout(limits_.write_timeout);
+    if (request_.method == "HEAD") {
+      // Without its body, which would take the place of the next answer.
+      bhttp::response_serializer<bhttp::string_body> serializer(message);
+      const auto [error, size] =
+          co_await bhttp::async_write_header(stream_, serializer, kNoThrow);
+      co_return HandleWriteResult(error);
+    }
     const auto [error, size] =
         co_await bhttp::async_write(stream_, message, kNoThrow);
     co_return HandleWriteResult(error);
@@ -151,7 +159,8 @@
 
   Task<void> ServeRequests(const Handler& handler,
                            const bool& close_after_response) {
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(
+        std::max(limits_.header_bytes, kMinUnparsedBytes));
     while (!broken_) {
       bhttp::request_parser<bhttp::string_body> parser;
       parser.header_limit(static_cast<uint32_t>(limits_.header_bytes));
@@ -168,6 +177,7 @@
       on_caller_gone_ = nullptr;
       busy_ = false;
       has_served_ = true;
+      ReleaseRequest(buffer);
       if (unresponsive_) {
         co_await WaitForever();
       }
@@ -208,6 +218,10 @@
 
  private:
   static constexpr unsigned kHttp11 = 11;
+  // Least limit of the bytes that are buffered until the parser can consume
+  // them: a head, a chunk's size line, or a trailer, which the parser itself
+  // does not limit. Holds the largest single read of the HTTP library.
+  static constexpr size_t kMinUnparsedBytes = size_t{64} * 1024;
 
   // Waits until the socket becomes readable while a response is in progress:
   // the caller has disconnected, or has sent its next request.
@@ -317,6 +331,15 @@
     response_started_ = false;
   }
 
+  // Frees what the last request took, so that an idle connection holds none of
+  // it. Bytes of the next request stay.
+  void ReleaseRequest(beast::flat_buffer& buffer) {
+    // Assigning an empty string would keep the capacity of the body.
+    Request released;
+    std::swap(request_, released);
+    buffer.shrink_to_fit();
+  }
+
   Task<void> WaitForever() {
     stream_.expires_never();
     asio::steady_timer forever(stream_.get_executor());
--- a/src/relay/platform_protocol.h
+++ b/src/relay/platform_protocol.h
@@ -87,7 +87,7 @@
   /// malformed.
   std::function<absl::StatusOr<CallerRequest>(const http::Request&)>
       parse_caller_request;
-  /// Makes the request that is sent to an upstream.
+  /// Makes the head of the request that is sent to an upstream.
   std::function<http::Request(const http::Request&,
                               const UpstreamRequestOptions&)>
       make_upstream_request;
@@ -112,14 +112,14 @@
   kTargetUnavailable,
   /// The engine did not answer; the copy may have been made.
   kUnknown,
+  /// The generation's ID can't be written in a copy order; none was sent.
+  kInexpressibleId,
 };
 
 struct KvCacheCopyResult {
   KvCacheCopyOutcome outcome = KvCacheCopyOutcome::kUnknown;
   /// Names the copy; empty if there is none. May also be set with
   /// `kTargetUnavailable`.
-  /// The generation's ID can't be written in a copy order; none was sent.
-  kInexpressibleId,
   std::string handle;
   /// Number of events that the engine had generated.
   int64_t events_produced = 0;
--- a/src/relay/send_once.cc
+++ b/src/relay/send_once.cc
@@ -85,6 +85,7 @@
   send.requires_version = call->admitted.caller.requires_version;
   send.request = services.protocol.make_upstream_request(
       call->exchange.request(), options);
+  send.body = call->exchange.request().body;
   send.id = call->admitted.caller.id;
   send.connect_timeout =
       std::min(left, engine ? kEngineConnectTimeout : kServiceConnectTimeout);
--- a/src/relay/upstream_call.cc
+++ b/src/relay/upstream_call.cc
@@ -94,17 +94,17 @@
     http::Connection& connection,
     const UpstreamCall& call) {
   using boost::asio::experimental::awaitable_operators::operator&&;
-  if (call.request.body.size() <= kMaxSequentialBody) {
-    const absl::Status sent =
-        co_await connection.Send(call.request, call.response_timeout);
+  if (call.body.size() <= kMaxSequentialBody) {
+    const absl::Status sent = co_await connection.Send(call.request, call.body,
+                                                       call.response_timeout);
     if (!sent.ok()) {
       co_return sent;
     }
     co_return co_await connection.ReadHead(call.response_timeout);
   }
-  auto [sent, head] =
-      co_await (connection.Send(call.request, call.response_timeout) &&
-                ReadHeadDuringSend(connection, call.response_timeout));
+  auto [sent, head] = co_await (
+      connection.Send(call.request, call.body, call.response_timeout) &&
+      ReadHeadDuringSend(connection, call.response_timeout));
   co_return std::move(head);
 }
 
--- a/src/relay/upstream_call.h
+++ b/src/relay/upstream_call.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "base/clock.h"
 #include "base/task.h"
@@ -15,12 +16,14 @@
 /// A request to one upstream.
 struct UpstreamCall {
   boost::asio::ip::tcp::endpoint address;
-  http::Request request;
   /// The upstream that the request is meant for.
   base::UpstreamId upstream;
   /// An upstream may refuse the request for its version of the weights.
   bool requires_version = false;
   /// The request's head.
+  http::Request request;
+  /// The request's body. Must stay valid until the call ends.
+  std::string_view body;
   /// Answers that name another request are skipped, up to a limit.
   base::RequestId id;
   base::Millis connect_timeout{0};
--- a/test/server-test.cc
+++ b/test/server-test.cc
@@ -70,6 +70,14 @@
   CHECK(SendToServer(limits, head + begun).starts_with("HTTP/1.1 408"));
 }
 
+TEST_CASE("a complete answer to a HEAD request has a body", "[server]") {
+  const std::string answer = SendToServer(
+      http::ServerLimits(),
+      "HEAD / HTTP/1.1\r\nHost: front.example\r\nConnection: close\r\n\r\n");
+  CHECK(answer.starts_with("HTTP/1.1 200"));
+  CHECK(answer.ends_with("\r\n\r\n"));
+}
+
 /// A server on the loopback address and callers that connect to it.
 class ServerFixture {
  public:
--- a/test/unexpected-requests-test.cc
+++ b/test/unexpected-requests-test.cc
@@ -121,5 +121,88 @@
   CHECK(other.seen().size() == 1);
 }
 
+size_t HeapBytes() {
+  const struct mallinfo2 info = mallinfo2();
+  return info.uordblks + info.hblkhd;
+}
+
+/// A caller that sends one request and keeps its connection.
+std::unique_ptr<tcp::socket> SendAndStay(ForwardFixture& fixture,
+                                         const std::string& bytes) {
+  auto caller = std::make_unique<tcp::socket>(fixture.executor());
+  caller->connect({boost::asio::ip::address_v4::loopback(), fixture.port()});
+  bool answered = false;
+  std::string received;
+  boost::asio::async_write(
+      *caller, boost::asio::buffer(bytes),
+      [&](boost::system::error_code, size_t) {
+        boost::asio::async_read_until(
+            *caller, boost::asio::dynamic_buffer(received), "answer",
+            [&](boost::system::error_code, size_t) { answered = true; });
+      });
+  REQUIRE(fixture.RunUntil([&answered] { return answered; }));
+  CHECK(received.starts_with("HTTP/1.1 200"));
+  return caller;
+}
+
+TEST_CASE("an idle connection keeps the body of its last request",
+          "[unexpected]") {
+  constexpr int kCallers = 40;
+  constexpr size_t kBodyBytes = 400'000;
+  // What a connection itself may take.
+  constexpr size_t kBytesPerCaller = size_t{16} * 1024;
+  ForwardFixture fixture("write", RequestKind::kNonIdempotent);
+  // Keeps nothing of the requests, unlike a `FakeUpstream`.
+  RawAnswer answer{RawHead("r-1", "Content-Length: 6\r\n") + "answer"};
+  fixture.AddRawUpstream("u-1", "write", std::move(answer));
+  const std::string bytes =
+      "POST /write/1 HTTP/1.1\r\nHost: front.example\r\n"
+      "X-Dandeliondyke-Request-Id: r-1\r\n"
+      "X-Dandeliondyke-Deadline-Ms: 9000\r\n"
+      "Content-Length: " +
+      std::to_string(kBodyBytes) + "\r\n\r\n" + std::string(kBodyBytes, 'x');
+  std::vector<std::unique_ptr<tcp::socket>> callers;
+  callers.push_back(SendAndStay(fixture, bytes));
+  const size_t before = HeapBytes();
+  for (int i = 1; i < kCallers; ++i) {
+    callers.push_back(SendAndStay(fixture, bytes));
+  }
+  CHECK(HeapBytes() < before + kCallers * kBytesPerCaller);
+}
+
+TEST_CASE("a caller's trailer without end is kept", "[unexpected]") {
+  constexpr size_t kMaxHeapBytes = size_t{1} * 1024 * 1024;
+  constexpr size_t kTrailerBytes = size_t{32} * 1024 * 1024;
+  ForwardFixture fixture("write", RequestKind::kNonIdempotent);
+  tcp::socket caller(fixture.executor());
+  caller.connect({boost::asio::ip::address_v4::loopback(), fixture.port()});
+  const std::string head =
+      "POST /write/1 HTTP/1.1\r\nHost: front.example\r\n"
+      "X-Dandeliondyke-Request-Id: r-1\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n0\r\n";
+  // As one long line, or as many lines.
+  const std::string line =
+      GENERATE(as<std::string>(), "x", "X-Name: value\r\n");
+  std::string trailer;
+  while (trailer.size() < kTrailerBytes) {
+    trailer += line;
+  }
+  const std::string name = "X-Name: ";
+  const size_t before = HeapBytes();
+  size_t most = before;
+  bool ended = false;
+  const std::vector<boost::asio::const_buffer> buffers = {
+      boost::asio::buffer(head), boost::asio::buffer(name),
+      boost::asio::buffer(trailer)};
+  boost::asio::async_write(
+      caller, buffers,
+      [&ended](boost::system::error_code, size_t) { ended = true; });
+  CHECK(fixture.RunUntil([&] {
+    most = std::max(most, HeapBytes());
+    return ended;
+  }));
+  CHECK(most - before < kMaxHeapBytes);
+}
+
 }  // namespace
 }  // namespace dandelion::test
