Roll pools out to another version as operators order it

The upstreams of a new version took their full part of the requests as soon as they were listed, and no status was written.

Each daemon counts what became of its requests by version and route; the counts ride on heartbeats to the delegates. The store's reader decides the share of the new version, which keeps the exposure bound also if the version turns bad at that moment, judges it beside the old one, and reverts or completes.

Beside it: an append of claims or a migration that ends with an exception leaves nobody waiting.

Open: dandelionctl does not show roll-outs.

--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -51,6 +51,10 @@
 using UpstreamId = Id<struct UpstreamTag>;
 using PoolName = Id<struct PoolTag>;
 using RouteName = Id<struct RouteTag>;
+/// Name of an operator's order for a roll-out.
+using RolloutName = Id<struct RolloutTag>;
+/// Version of an upstream's software.
+using SoftwareVersion = Id<struct SoftwareVersionTag>;
 using GenerationId = Id<struct GenerationTag>;
 using RequestId = Id<struct RequestTag>;
 /// Identifies a part of a prompt that several requests may share.
--- a/src/claims/claim_service.cc
+++ b/src/claims/claim_service.cc
@@ -81,37 +81,50 @@
 // requests to the log.
 Task<void> ClaimService::AppendLoop() {
   while (!queued_steps_.empty()) {
-    std::vector<QueuedStep> batch = std::exchange(queued_steps_, {});
-    std::vector<ClaimStep> steps;
-    steps.reserve(batch.size());
-    for (const QueuedStep& entry : batch) {
-      steps.push_back(entry.step);
+    std::vector<QueuedStep> to_retry =
+        co_await AppendBatch(std::exchange(queued_steps_, {}));
+    if (!to_retry.empty()) {
+      queued_steps_.insert(queued_steps_.begin(), to_retry.begin(),
+                           to_retry.end());
+      co_await base::SleepFor(kAppendRetryInterval);
     }
-    const platform_client::AppendResult result =
-        co_await log_.Append(kClaimTopic, EncodeSteps(steps));
-    hooks_.on_log_request(true);
-    std::vector<QueuedStep> to_retry;
+  }
+  appending_ = false;
+}
+
+Task<std::vector<ClaimService::QueuedStep>> ClaimService::AppendBatch(
+    std::vector<QueuedStep> batch) {
+  // Callers that wait learn the result, whatever ends this task.
+  const absl::Cleanup end_waits = [&batch] {
     for (QueuedStep& entry : batch) {
       if (entry.wait) {
-        // A caller waits for this claim: report a failed append instead of
-        // retrying it.
         entry.wait->done = true;
-        entry.wait->appended = result.offset.ok();
         entry.wait->timer.cancel();
-      } else if (!result.offset.ok()) {
-        // Releases and outcomes are retried until they are appended. The
-        // failed append may be in the log too, but a second copy of these
-        // steps has no effect.
-        to_retry.push_back(std::move(entry));
       }
     }
-    if (!to_retry.empty()) {
-      queued_steps_.insert(queued_steps_.begin(), to_retry.begin(),
-                           to_retry.end());
-      co_await base::SleepFor(kAppendRetryInterval);
+  };
+  std::vector<ClaimStep> steps;
+  steps.reserve(batch.size());
+  for (const QueuedStep& entry : batch) {
+    steps.push_back(entry.step);
+  }
+  const platform_client::AppendResult result =
+      co_await log_.Append(kClaimTopic, EncodeSteps(steps));
+  hooks_.on_log_request(true);
+  std::vector<QueuedStep> to_retry;
+  for (QueuedStep& entry : batch) {
+    if (entry.wait) {
+      // A caller waits for this claim: report a failed append instead of
+      // retrying it.
+      entry.wait->appended = result.offset.ok();
+    } else if (!result.offset.ok()) {
+      // Releases and outcomes are retried until they are appended. The failed
+      // append may be in the log too, but a second copy of these steps has no
+      // effect.
+      to_retry.push_back(std::move(entry));
     }
   }
-  appending_ = false;
+  co_return to_retry;
 }
 
 // Appends a claim and reads the log to its end, past the claim. Returns false
--- a/src/claims/claim_service.h
+++ b/src/claims/claim_service.h
@@ -157,6 +157,10 @@
   base::Task<bool> CatchUp();
   void Enqueue(ClaimStep step, std::shared_ptr<PendingAppend> wait);
   base::Task<void> AppendLoop();
+  /// Appends steps in one request and tells those that wait for them. Returns
+  /// the steps that have to be appended again.
+  base::Task<std::vector<QueuedStep>> AppendBatch(
+      std::vector<QueuedStep> batch);
   base::Task<bool> AppendClaim(const ClaimStep& step);
   base::Task<ClaimResult> AwaitAttempt(const std::string& identity,
                                        const Claim& claim,
--- a/src/fleet/fleet_state.cc
+++ b/src/fleet/fleet_state.cc
@@ -61,6 +61,9 @@
          {{"data_centre", operator_record->evacuated_data_centre.value()},
           {"offset", absl::StrCat(record.offset)}});
   }
+  if (operator_record->rollout && hooks_.on_rollout) {
+    hooks_.on_rollout(*operator_record->rollout);
+  }
   const bool newer = operator_record->catalogue &&
                      (!catalogue_ || operator_record->catalogue->version >
                                          catalogue_->version);
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -3,6 +3,7 @@
 #include <array>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -10,15 +11,24 @@
 #include "base/clock.h"
 #include "fleet/catalogue.h"
 #include "fleet/upstream_list.h"
+#include "rollout/types.h"
 #include "store/topic.h"
 
 namespace dandelion::fleet {
 
+/// An operator's order for a roll-out, or the end of one.
+struct RolloutOrder {
+  base::RolloutName name;
+  /// Nothing if the order was removed.
+  std::optional<rollout::Order> order;
+};
+
 /// A parsed record of the operator topic. At most one field is set.
 struct OperatorRecord {
   CataloguePtr catalogue;
   /// The data centre that is evacuated until the record is removed.
   base::DataCentreId evacuated_data_centre;
+  std::optional<RolloutOrder> rollout;
 };
 
 /// This daemon's view of the fleet: replicas of the store's topics, and the
@@ -34,6 +44,9 @@
         parse_upstream_entry;
     /// Called when a newer catalogue was installed.
     std::function<void(const CataloguePtr&)> on_catalogue;
+    /// Called when a roll-out was ordered or its order was removed. May be
+    /// empty.
+    std::function<void(const RolloutOrder&)> on_rollout;
   };
 
   FleetState(base::Clock clock, UpstreamList& upstreams, Hooks hooks);
--- a/src/fleet/upstream_list.h
+++ b/src/fleet/upstream_list.h
@@ -26,6 +26,8 @@
   /// Start time of the upstream by its own clock. A different value means that
   /// it restarted and lost its state.
   int64_t started_at = 0;
+  /// Empty if the entry names none.
+  base::SoftwareVersion version;
 
   bool operator==(const UpstreamEntry&) const = default;
 };
--- a/src/kernel/fleet_daemon.cc
+++ b/src/kernel/fleet_daemon.cc
@@ -15,6 +15,7 @@
 #include "kernel/peer_traffic.h"
 #include "kernel/quarantine_hooks.h"
 #include "kernel/registry.h"
+#include "kernel/rollout_service.h"
 #include "kernel/serving_telemetry.h"
 #include "membership/mesh.h"
 #include "membership/transport.h"
@@ -91,6 +92,14 @@
         health_(HealthHooks()),
         load_exchange_(loads_, health_),
         peer_traffic_(clock_, metrics_),
+        rollouts_(settings_.host,
+                  clock_,
+                  upstreams_,
+                  {settings_.rollout_share, settings_.rollout_slack},
+                  adapter_.statuses,
+                  adapter_.rollout_status,
+                  metrics_,
+                  RolloutHooks()),
         mesh_(SelfInfo(), clock_, AnswerBytesPerSecond(), MeshHooks()),
         quarantine_(settings_.host, MakeQuarantineHooks(metrics_)),
         self_reports_(SelfReportHooks()),
@@ -100,12 +109,15 @@
                 loads_,
                 health_,
                 self_reports_,
-                {[this](const UpstreamId& id) { return RankFor(id); }}),
+                {[this](const UpstreamId& id) { return RankFor(id); },
+                 [this](const base::PoolName& pool) {
+                   return rollouts_.rollouts().RuleFor(pool, clock_.Now());
+                 }}),
         migrator_(executor, clock_, adapter_.engines, MigratorHooks()),
         retry_budget_(RetryBounds()),
         forwarder_({executor, clock_, adapter_.protocol, placer_, migrator_,
                     adapter_.engines, health_, self_reports_, retry_budget_,
-                    metrics_, stop_, quarantine_,
+                    metrics_, stop_, quarantine_, rollouts_.rollouts(),
                     [this] { return mesh_.DaemonCount(); },
                     [this] { return MakeAdmissionState(); }}),
         caller_server_(
@@ -227,6 +239,7 @@
     start([this] { return RunPeriodicTasks(); });
     start([this] { return PollEngineReports(); });
     start([this] { return loop_monitor_.Run(); });
+    start([this] { return rollouts_.KeepRecords(); });
     return absl::OkStatus();
   }
 
@@ -313,6 +326,7 @@
                                   mesh_.IsDelegateCandidate());
       ReportReaderElection();
       DetectStoreRecovery();
+      rollouts_.Tick();
       quarantine_.Tick(now);
       if (quarantine_.quarantine_count() > 0) {
         forwarder_.RejectUnsendable();
@@ -535,6 +549,9 @@
     fleet::FleetState::Hooks hooks;
     hooks.parse_operator_record = adapter_.parse_operator_record;
     hooks.parse_upstream_entry = adapter_.parse_upstream_entry;
+    hooks.on_rollout = [this](const fleet::RolloutOrder& order) {
+      rollouts_.OnOrder(order);
+    };
     hooks.on_catalogue = [this](const fleet::CataloguePtr& catalogue) {
       http::ServerLimits limits = CallerLimits();
       limits.header_bytes = catalogue->limits.header_bytes;
@@ -595,6 +612,7 @@
     hooks.on_self_reports = [this](const proto::FleetBeat& heartbeat) {
       routing::ApplySelfReports(heartbeat, clock_.Now(), self_reports_);
     };
+    rollouts_.AddHooks(&hooks);
     hooks.is_reader = [this] {
       return reader_election_.is_reader() && follower_.HasRecentRead();
     };
@@ -602,6 +620,20 @@
     return hooks;
   }
 
+  rollout::Rollouts::Hooks RolloutHooks() {
+    rollout::Rollouts::Hooks hooks;
+    hooks.is_decider = [this] {
+      return reader_election_.is_reader() && mesh_.IsDelegate();
+    };
+    hooks.running_on = [this](const UpstreamId& id) {
+      return loads_.TotalLoad(id).running;
+    };
+    hooks.evacuate = [this](const UpstreamId& id) {
+      migrator_.MigrateFrom(id, "its version is replaced");
+    };
+    return hooks;
+  }
+
   void AddLoadHooks(membership::Mesh::Hooks* hooks) {
     hooks->start_load_round = [this] { load_exchange_.StartRound(); };
     hooks->loads_changed = [this] { return load_exchange_.HasChanges(); };
@@ -722,6 +754,7 @@
   routing::UpstreamHealth health_;
   routing::LoadExchange load_exchange_;
   PeerTraffic peer_traffic_;
+  RolloutService rollouts_;
   membership::Mesh mesh_;
   admission::PartQuarantine quarantine_;
   routing::SelfReports self_reports_;
--- a/src/kernel/fleet_daemon.h
+++ b/src/kernel/fleet_daemon.h
@@ -8,6 +8,7 @@
 #include "base/task.h"
 #include "fleet/fleet_state.h"
 #include "kernel/fleet_settings.h"
+#include "kernel/rollout_service.h"
 #include "relay/platform_protocol.h"
 #include "store/store.h"
 
@@ -21,12 +22,14 @@
   relay::EngineControl& engines;
   store::MetadataStore& store;
   store::PeerList& peers;
+  store::StatusStore& statuses;
   /// Decodes a record of the operators' topic.
   std::function<absl::StatusOr<fleet::OperatorRecord>(const store::Record&)>
       parse_operator_record;
   /// Decodes the value of a record of the upstreams' topic.
   std::function<absl::StatusOr<fleet::UpstreamEntry>(const std::string& value)>
       parse_upstream_entry;
+  RolloutStatusFormat rollout_status;
   /// The HTTP path of the load balancer's readiness check.
   std::string readiness_path;
 };
--- a/src/kernel/fleet_settings.cc
+++ b/src/kernel/fleet_settings.cc
@@ -141,6 +141,12 @@
       {"repeat_window_s", NumberField([](double s, FleetSettings* settings) {
          settings->retry_window = FromSeconds(s);
        })},
+      {"rollout_share", NumberField([](double share, FleetSettings* settings) {
+         settings->rollout_share = share;
+       })},
+      {"rollout_slack", NumberField([](double slack, FleetSettings* settings) {
+         settings->rollout_slack = slack;
+       })},
       {"max_descriptors",
        NumberField([](double count, FleetSettings* settings) {
          settings->max_descriptors = static_cast<size_t>(count);
--- a/src/kernel/fleet_settings.h
+++ b/src/kernel/fleet_settings.h
@@ -45,6 +45,10 @@
   double processor_share = 0;
   /// Speed of the host's link; 0 if not known.
   double link_mbps = 0;
+  /// What a version that is rolled out may get before it is known to be good:
+  /// this share of its pool's requests, and some more.
+  double rollout_share = 0.1;
+  double rollout_slack = 50;
   /// Time from the stop signal until the process is killed.
   base::Millis stop_grace{8000};
 };
--- a/src/membership/mesh.cc
+++ b/src/membership/mesh.cc
@@ -615,8 +615,11 @@
     *heartbeat->mutable_part_evidence() = *news.evidence;
   }
   *heartbeat->mutable_self_reports() = news.self_reports.self_reports();
+  *heartbeat->mutable_rollout_decisions() =
+      news.self_reports.rollout_decisions();
   return heartbeat->loads_size() > 0 || heartbeat->views_size() > 0 ||
-         heartbeat->has_part_evidence() || heartbeat->self_reports_size() > 0;
+         heartbeat->has_part_evidence() || heartbeat->self_reports_size() > 0 ||
+         heartbeat->rollout_decisions_size() > 0;
 }
 
 void Mesh::Send(const HostId& to, Link& link, const proto::Envelope& message) {
--- a/src/membership/mesh.h
+++ b/src/membership/mesh.h
@@ -205,6 +205,7 @@
   /// What changed since the last message with news.
   struct News {
     std::optional<proto::PartEvidence> evidence;
+    /// With the decisions on roll-outs.
     proto::FleetBeat self_reports;
     /// The daemons of this data centre that are up.
     bool view = false;
--- a/src/migration/migrator.cc
+++ b/src/migration/migrator.cc
@@ -110,6 +110,7 @@
 }
 
 Task<void> Migrator::Migrate(GenerationPtr generation, std::string reason) {
+  const absl::Cleanup end = [generation] { generation->migrating = false; };
   const UpstreamId source = generation->place.upstream;
   std::set<UpstreamId> excluded = {source};
   for (int tries = 0; tries < kMaxTries; ++tries) {
@@ -130,7 +131,6 @@
       break;
     }
   }
-  generation->migrating = false;
   Emit(Event::kRunMoved, {{"request", generation->id.value()},
                           {"from", source.value()},
                           {"reason", reason},
--- a/src/relay/forwarder.h
+++ b/src/relay/forwarder.h
@@ -17,6 +17,7 @@
 #include "relay/platform_protocol.h"
 #include "relay/request_admission.h"
 #include "relay/upstream_call.h"
+#include "rollout/rollouts.h"
 #include "routing/upstream_health.h"
 #include "telemetry/metrics.h"
 
@@ -36,6 +37,7 @@
   telemetry::Metrics& metrics;
   const admission::StopDeadline& stop;
   admission::PartQuarantine& quarantine;
+  rollout::Rollouts& rollouts;
   /// Number of daemons that share the fleet's limits.
   std::function<size_t()> daemons;
   /// Returns the current state by which requests are admitted.
--- a/src/relay/placer.cc
+++ b/src/relay/placer.cc
@@ -59,13 +59,37 @@
       self_reports_(self_reports),
       hooks_(std::move(hooks)) {}
 
+rollout::VersionChoice Placer::ChooseVersions(
+    const PlaceRequest& request) const {
+  std::vector<const fleet::Upstream*> usable =
+      upstreams_.UsableInPool(request.pool.name);
+  const std::optional<rollout::VersionRule> rule =
+      hooks_.version_rule ? hooks_.version_rule(request.pool.name)
+                          : std::nullopt;
+  if (!rule) {
+    return {std::move(usable), {}};
+  }
+  // What has failed at one upstream goes to the version that is known.
+  const bool is_retry = !request.excluded.empty();
+  return rollout::ChooseVersions(*rule, request.version_draw, is_retry, usable);
+}
+
 std::vector<UpstreamCandidate> Placer::FindCandidates(
     const PlaceRequest& request) const {
+  const rollout::VersionChoice versions = ChooseVersions(request);
+  std::vector<UpstreamCandidate> candidates =
+      FindCandidatesAmong(request, versions.preferred);
+  return candidates.empty() ? FindCandidatesAmong(request, versions.others)
+                            : candidates;
+}
+
+std::vector<UpstreamCandidate> Placer::FindCandidatesAmong(
+    const PlaceRequest& request,
+    const std::vector<const fleet::Upstream*>& upstreams) const {
   const Millis now = clock_.Now();
   std::vector<UpstreamCandidate> healthy;
   std::vector<UpstreamCandidate> ejected;
-  for (const fleet::Upstream* upstream :
-       upstreams_.UsableInPool(request.pool.name)) {
+  for (const fleet::Upstream* upstream : upstreams) {
     if (request.excluded.contains(upstream->id) ||
         !self_reports_.MaySend(upstream->id, now) ||
         ColdLimitReached(*upstream, request.pool)) {
@@ -88,7 +112,20 @@
 }
 
 std::optional<migration::Place> Placer::TryPlace(const PlaceRequest& request) {
-  const std::vector<UpstreamCandidate> candidates = FindCandidates(request);
+  const rollout::VersionChoice versions = ChooseVersions(request);
+  std::optional<migration::Place> place =
+      TryPlaceAmong(request, versions.preferred);
+  if (!place && !versions.others.empty()) {
+    place = TryPlaceAmong(request, versions.others);
+  }
+  return place;
+}
+
+std::optional<migration::Place> Placer::TryPlaceAmong(
+    const PlaceRequest& request,
+    const std::vector<const fleet::Upstream*>& upstreams) {
+  const std::vector<UpstreamCandidate> candidates =
+      FindCandidatesAmong(request, upstreams);
   const std::optional<size_t> choice =
       request.size ? routing::ChooseEngine(candidates, *request.size,
                                            request.pool.engine->memory_tokens)
--- a/src/relay/placer.h
+++ b/src/relay/placer.h
@@ -12,6 +12,7 @@
 #include "fleet/catalogue.h"
 #include "fleet/upstream_list.h"
 #include "migration/active_generation.h"
+#include "rollout/version_choice.h"
 #include "routing/load_tracker.h"
 #include "routing/rate_share.h"
 #include "routing/self_reports.h"
@@ -32,6 +33,9 @@
   std::set<base::UpstreamId> excluded;
   /// Time at which the request gives up waiting.
   base::Millis wait_until{0};
+  /// Selects the version of the upstreams while the pool is rolled out, in
+  /// [0, 1).
+  double version_draw = 0;
 };
 
 /// Result of a request for a place.
@@ -54,6 +58,10 @@
     /// This daemon's rank among those that share the limit on requests to a
     /// cold upstream.
     std::function<routing::DaemonRank(const base::UpstreamId&)> rank;
+    /// The rule for the versions of a pool's upstreams; nothing unless the pool
+    /// is being rolled out. May be empty.
+    std::function<std::optional<rollout::VersionRule>(const base::PoolName&)>
+        version_rule = {};
   };
   /// Most waiting requests of one organisation in a pool's queue.
   static constexpr size_t kMaxWaitingPerOrganisation = 200;
@@ -121,6 +129,16 @@
     }
   };
 
+  /// Returns the upstreams that the request may use by their versions, those to
+  /// be preferred in the first list.
+  rollout::VersionChoice ChooseVersions(const PlaceRequest& request) const;
+  std::vector<routing::UpstreamCandidate> FindCandidatesAmong(
+      const PlaceRequest& request,
+      const std::vector<const fleet::Upstream*>& upstreams) const;
+  /// Returns a place at one of `upstreams` with its load reserved, or nothing.
+  std::optional<migration::Place> TryPlaceAmong(
+      const PlaceRequest& request,
+      const std::vector<const fleet::Upstream*>& upstreams);
   /// Whether `request` excludes every usable upstream of its pool. False if
   /// there is no usable upstream at all.
   bool ExcludesAllUpstreams(const PlaceRequest& request) const;
--- a/src/relay/plain_forward.cc
+++ b/src/relay/plain_forward.cc
@@ -81,6 +81,7 @@
   PlaceRequest request;
   request.pool = pool;
   request.organisation = call.admitted.organisation;
+  request.version_draw = DrawVersion(call);
   request.wait_until =
       std::min(call.deadline(),
                services.clock.Now() +
--- a/src/relay/send_once.cc
+++ b/src/relay/send_once.cc
@@ -1,5 +1,7 @@
 #include "relay/send_once.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <functional>
 #include <utility>
@@ -19,6 +21,7 @@
 
 constexpr Millis kServiceConnectTimeout{150};
 constexpr Millis kEngineConnectTimeout{250};
+constexpr int kFirstServerError = 500;
 
 void RecordHealth(const ForwardServices& services,
                   const migration::Place& place,
@@ -47,6 +50,37 @@
   }
 }
 
+// Counts the attempt for its pool's roll-out, if there is one.
+void RecordForRollout(const ForwardServices& services,
+                      const ForwardCall& call,
+                      const migration::Place& place,
+                      const UpstreamReply& reply,
+                      Millis took) {
+  const base::RouteName& route = call.admitted.route.name;
+  const bool has_head = reply.head.status != 0;
+  switch (reply.end) {
+    case SendOutcome::kAnswered:
+      if (reply.head.status >= kFirstServerError) {
+        services.rollouts.RecordFailure(place.upstream, route);
+      } else {
+        services.rollouts.RecordAnswer(place.upstream, route, took);
+      }
+      break;
+    case SendOutcome::kTimedOut:
+      services.rollouts.RecordFailure(place.upstream, route);
+      break;
+    case SendOutcome::kBroken:
+      if (has_head) {
+        services.rollouts.RecordFailure(place.upstream, route);
+      } else {
+        services.rollouts.RecordBreak(place.upstream);
+      }
+      break;
+    default:
+      break;
+  }
+}
+
 // Records what the upstream said of itself, if the answer is its own, or that
 // another upstream has its address.
 void RecordSelfReport(const ForwardServices& services,
@@ -93,6 +127,7 @@
   send.on_connection = [call](http::Connection* connection) {
     call->SetConnection(connection);
   };
+  services.rollouts.RecordSend(place.upstream, call->admitted.route.name);
   UpstreamReply reply =
       co_await CallUpstream(services.protocol, std::move(send));
   if (reply.end == SendOutcome::kBroken) {
@@ -105,6 +140,7 @@
   const Millis now = services.clock.Now();
   RecordHealth(services, place, reply.end, now);
   RecordSelfReport(services, place, reply, now);
+  RecordForRollout(services, *call, place, reply, now - started);
   if (reply.end == SendOutcome::kAnswered && !engine) {
     services.health.RecordAnswerTime(place.upstream, now - started);
   }
@@ -138,6 +174,16 @@
                            position);
 }
 
+double DrawVersion(const ForwardCall& call) {
+  // Independent of the point by which the pool is selected.
+  constexpr uint64_t kSeed = 1;
+  constexpr double kRange = 18446744073709551616.0;  // 2^64
+  const std::string& id = call.admitted.caller.id.value();
+  return static_cast<double>(
+             XXH3_64bits_withSeed(id.data(), id.size(), kSeed)) /
+         kRange;
+}
+
 bool MaySend(const ForwardServices& services, const ForwardCall& call) {
   return call.answer_started ||
          services.stop.Allows(call.admitted.longest, services.clock.Now());
@@ -191,6 +237,7 @@
                         const base::UpstreamId& upstream) {
   const SendOutcome end = call.EndReasonOr(SendOutcome::kBroken);
   if (end != SendOutcome::kCallerGone && end != SendOutcome::kStopping) {
+    services.rollouts.RecordBreak(upstream);
     services.health.RecordAttempt(upstream, AttemptOutcome::kFailure,
                                   services.clock.Now());
   }
--- a/src/relay/send_once.h
+++ b/src/relay/send_once.h
@@ -26,6 +26,10 @@
 /// has no pool that is defined.
 const fleet::Pool* SelectPool(const ForwardCall& call);
 
+/// Returns a number in [0, 1) by which the version of the upstreams is selected
+/// while a pool is rolled out.
+double DrawVersion(const ForwardCall& call);
+
 /// Waits for a place for the first or another send. Returns none if the daemon
 /// stops before the request could end there, unless the caller already has a
 /// part of the answer, or if a part of the prompt is quarantined; `stopping` or
--- a/src/relay/stream_forward.cc
+++ b/src/relay/stream_forward.cc
@@ -36,6 +36,8 @@
 constexpr int64_t kShortOutputTokens = 128;
 // Longest wait for the result of the final copy after the stream broke.
 constexpr Millis kFinalCopyTimeout{1500};
+// Events whose mean time per token stands for an answer.
+constexpr int kPaceEvents = 16;
 // A stream with a longer event is broken.
 constexpr size_t kMaxEventBytes = 1024 * 1024;
 
@@ -110,6 +112,7 @@
   void MakePlaceRequest() {
     request_.pool = pool_;
     request_.organisation = call_->admitted.organisation;
+    request_.version_draw = DrawVersion(*call_);
     call_->is_urgent = call_->admitted.priority == kHighestPriority ||
                        generation_->size.output_tokens < kShortOutputTokens;
     request_.is_urgent = call_->is_urgent;
@@ -223,6 +226,8 @@
   Task<SendOutcome> PassStream(std::optional<KvCacheCopy> copy) {
     evidence_.emplace(services_, call_, generation_->place.upstream);
     awaited_final_copy_ = false;
+    token_times_ = 0;
+    token_ms_sum_ = 0;
     UpstreamReply reply = co_await SendOnce(
         services_, call_, generation_->place, std::move(copy), resume_after_);
     if (reply.end != SendOutcome::kAnswered) {
@@ -345,6 +350,7 @@
           static_cast<double>((now - *last_event_at).count()) /
           static_cast<double>(generation_->tokens_per_event);
       services_.health.RecordTokenTime(generation_->place.upstream, token_ms);
+      RecordPace(token_ms);
     }
     if (!started_) {
       services_.metrics.Observe(
@@ -355,6 +361,17 @@
     *last_event_at = now;
   }
 
+  // Counts the time per token for the pool's roll-out: once for each answer, as
+  // the times within one depend on each other.
+  void RecordPace(double token_ms) {
+    token_ms_sum_ += token_ms;
+    if (++token_times_ == kPaceEvents) {
+      services_.rollouts.RecordTokenTime(generation_->place.upstream,
+                                         call_->admitted.route.name,
+                                         token_ms_sum_ / kPaceEvents);
+    }
+  }
+
   Task<absl::Status> StartAnswer(UpstreamReply& reply) {
     started_ = true;
     call_->answer_started = true;
@@ -410,6 +427,9 @@
   std::optional<int64_t> resume_after_;
   /// What the current answer says about the parts of the prompt.
   std::optional<AnswerEvidence> evidence_;
+  /// Times between events of the current answer.
+  int token_times_ = 0;
+  double token_ms_sum_ = 0;
   /// The result of the final copy was waited for after the stream's end.
   bool awaited_final_copy_ = false;
   /// The answer broke as it began, and the prompt has a part that may be the
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -24,6 +24,20 @@
                                                       base::Millis wait) = 0;
 };
 
+/// The topic of the statuses that operators read. Calls fail like those of
+/// `MetadataStore`.
+class StatusStore {
+ public:
+  virtual ~StatusStore() = default;
+  /// Returns a snapshot of all statuses; an empty one if none was ever written.
+  virtual base::Task<absl::StatusOr<Update>> ReadStatuses() = 0;
+  /// Writes a status if the topic still ends at `end`, the end of a snapshot.
+  /// Fails with `kConflict` if it does not: another daemon has written since.
+  virtual base::Task<absl::Status> WriteStatus(std::string key,
+                                               std::string value,
+                                               int64_t end) = 0;
+};
+
 /// A daemon's entry in the store's list of daemons.
 struct PeerEntry {
   std::string name;
--- a/src/telemetry/metrics.cc
+++ b/src/telemetry/metrics.cc
@@ -117,6 +117,13 @@
                                .Name("dandelion_peer_kind_bytes_total")
                                .Help("Bytes of peers' messages by kind")
                                .Register(registry_);
+    rollout_shares_ =
+        &prometheus::BuildGauge()
+             .Name("dandelion_rollout_share")
+             .Help(
+                 "Share of a pool's requests that goes to the version that "
+                 "is rolled out")
+             .Register(registry_);
     config_version_ =
         &MakeGauge("dandelion_config_version", "Version in force");
     leased_slots_ = &MakeGauge("dandelion_leased_slots", "Slots held by lease");
@@ -161,6 +168,7 @@
   prometheus::Family<prometheus::Counter>* rejections_;
   prometheus::Family<prometheus::Counter>* peer_traffic_messages_;
   prometheus::Family<prometheus::Counter>* peer_traffic_bytes_;
+  prometheus::Family<prometheus::Gauge>* rollout_shares_;
   prometheus::Gauge* config_version_;
   prometheus::Gauge* leased_slots_;
   prometheus::Gauge* in_flight_;
@@ -222,6 +230,9 @@
 void Metrics::SetLoopLag(double seconds) {
   impl_->loop_lag_->Set(seconds);
 }
+void Metrics::SetRolloutShare(const base::PoolName& pool, double share) {
+  impl_->rollout_shares_->Add({{"pool", pool.value()}}).Set(share);
+}
 double Metrics::ValueOf(CounterId counter) const {
   return impl_->counters_.at(counter)->Value();
 }
--- a/src/telemetry/metrics.h
+++ b/src/telemetry/metrics.h
@@ -66,6 +66,8 @@
   void SetConnections(double connections);
   /// Time by which the event loop last ran a task late.
   void SetLoopLag(double seconds);
+  /// Share of a pool's requests that goes to the version that is rolled out.
+  void SetRolloutShare(const base::PoolName& pool, double share);
   /// The current value of a counter.
   double ValueOf(CounterId counter) const;
 
--- /dev/null
+++ b/test/daemon-support.h
@@ -0,0 +1,275 @@
+#pragma once
+
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/write.hpp>
+#include <chrono>
+#include <cstdio>
+#include <fstream>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+
+#include "test/fake-store.h"
+
+extern char** environ;
+
+namespace dandelion::test {
+
+inline constexpr char kLoopback[] = "127.0.0.1";
+
+/// Runs the daemon in its own process, with standard output in the file `log`.
+/// Kills the process when destroyed.
+class DaemonProcess {
+ public:
+  DaemonProcess(const std::string& settings_path, const std::string& log) {
+    const std::string setting = "DANDELIONDYKE_CONFIG=" + settings_path;
+    std::string program = DANDELION_BUILD "/dandeliond-platform";
+    std::vector<char*> arguments = {program.data(), nullptr};
+    std::string variable = setting;
+    std::vector<char*> variables = {variable.data(), nullptr};
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(),
+                                     O_WRONLY | O_CREAT | O_TRUNC, 0600);
+    const int spawn_error =
+        posix_spawn(&pid_, program.c_str(), &actions, nullptr, arguments.data(),
+                    variables.data());
+    posix_spawn_file_actions_destroy(&actions);
+    if (spawn_error != 0) {
+      throw std::runtime_error("cannot start " + program);
+    }
+  }
+  ~DaemonProcess() {
+    if (!exit_code_) {
+      kill(pid_, SIGKILL);
+      waitpid(pid_, nullptr, 0);
+    }
+  }
+  DaemonProcess(const DaemonProcess&) = delete;
+  DaemonProcess& operator=(const DaemonProcess&) = delete;
+
+  void SendSignal(int signal) { kill(pid_, signal); }
+  /// Empty while the process runs; -1 if it was ended by a signal.
+  std::optional<int> ExitCode() {
+    int status = 0;
+    if (!exit_code_ && waitpid(pid_, &status, WNOHANG) == pid_) {
+      exit_code_ = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    }
+    return exit_code_;
+  }
+
+ private:
+  pid_t pid_ = -1;
+  std::optional<int> exit_code_;
+};
+
+/// A store in the test's process, and what a daemon needs to run with it.
+struct PlatformFixture {
+  using json = nlohmann::json;
+  using tcp = boost::asio::ip::tcp;
+
+  PlatformFixture() : store(context.get_executor()) {}
+  ~PlatformFixture() { EndTasks(); }
+
+  /// Lets tasks whose connections were closed end. To be called before what
+  /// they use is destroyed.
+  void EndTasks() {
+    context.restart();
+    context.run_for(std::chrono::milliseconds(50));
+  }
+
+  static json MakeRoute(const std::string& name,
+                        const std::string& kind,
+                        const std::string& pool) {
+    return {{"name", name},
+            {"host", "front.example"},
+            {"path-prefix", "/" + name + "/"},
+            {"kind", kind},
+            {"timeout-ms", 60'000},
+            {"goal-ms", 30'000},
+            {"max-attempts", 1},
+            {"backend", pool}};
+  }
+
+  static json MakeUpstreamEntry(const std::string& pool,
+                                const FakeUpstream& upstream,
+                                int slots) {
+    return {{"backend", pool},
+            {"addr", std::string(kLoopback) + ":" +
+                         std::to_string(upstream.address().port())},
+            {"zone", "dc-a"},
+            {"slots", slots},
+            {"state", "ready"},
+            {"cold-left-ms", 0},
+            {"seq", 1},
+            {"born", 1}};
+  }
+
+  /// Returns "IP:PORT" with a port that no other socket uses now.
+  std::string FindFreeAddress() {
+    tcp::acceptor acceptor(
+        context, tcp::endpoint(boost::asio::ip::make_address_v4(kLoopback), 0));
+    return std::string(kLoopback) + ":" +
+           std::to_string(acceptor.local_endpoint().port());
+  }
+
+  json MakeSettings() {
+    json settings = {{"host", "front-1"},
+                     {"data_centre", "dc-a"},
+                     {"seeds", json::array()},
+                     {"store", std::string(kLoopback) + ":" +
+                                   std::to_string(store.address().port())},
+                     {"key_lifetime_ms", 5000},
+                     {"strict_keys", true},
+                     {"stop_grace_s", 3}};
+    for (const char* name :
+         {"callers", "readiness", "metrics", "peer_address"}) {
+      settings[name] = FindFreeAddress();
+    }
+    return settings;
+  }
+
+  /// Runs the event loop until `condition` holds. Returns false if it does not
+  /// hold within 20 s.
+  bool RunUntil(const std::function<bool()>& condition) {
+    const auto deadline =
+        std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    context.restart();
+    while (!condition()) {
+      if (std::chrono::steady_clock::now() > deadline) {
+        return false;
+      }
+      context.run_one_for(std::chrono::milliseconds(20));
+    }
+    return true;
+  }
+
+  boost::asio::io_context context;
+  FakeStore store;
+};
+
+/// A caller that sends one request and collects the response.
+struct Caller {
+  explicit Caller(boost::asio::io_context& context) : socket(context) {}
+
+  /// Returns false if the daemon does not accept the connection. `headers` are
+  /// lines that each end with CRLF.
+  bool SendRequest(const boost::asio::ip::tcp::endpoint& daemon,
+                   int number,
+                   const std::string& route = "draft",
+                   const std::string& headers = "") {
+    boost::system::error_code error;
+    socket.connect(daemon, error);
+    if (error) {
+      socket.close();
+      return false;
+    }
+    const std::string request = "GET /" + route +
+                                "/1 HTTP/1.1\r\nHost: front.example\r\n"
+                                "X-Dandeliondyke-Request-Id: r-" +
+                                std::to_string(number) + "\r\n" + headers +
+                                "\r\n";
+    boost::asio::write(socket, boost::asio::buffer(request));
+    ReadMore();
+    return true;
+  }
+
+  void ReadMore() {
+    socket.async_read_some(boost::asio::buffer(chunk),
+                           [this](auto error, size_t size) {
+                             received.append(chunk.data(), size);
+                             if (!error) {
+                               ReadMore();
+                             }
+                           });
+  }
+
+  bool HasReceivedEvent() const {
+    return received.find("data: x") != std::string::npos;
+  }
+  /// 0 unless a response has begun.
+  int Status() const {
+    constexpr size_t kStatusAt = std::string_view("HTTP/1.1 ").size();
+    constexpr size_t kStatusDigits = 3;
+    return received.size() < kStatusAt + kStatusDigits
+               ? 0
+               : std::stoi(received.substr(kStatusAt, kStatusDigits));
+  }
+
+  boost::asio::ip::tcp::socket socket;
+  std::array<char, 4096> chunk{};
+  std::string received;
+};
+
+/// A daemon with the fixture's store, from its start to its end.
+struct RunningDaemon {
+  explicit RunningDaemon(PlatformFixture& fixture) : fixture(fixture) {
+    const nlohmann::json settings = fixture.MakeSettings();
+    std::ofstream(path) << settings.dump();
+    if (!http::ParseEndpoint(settings["callers"].get<std::string>(),
+                             &address)) {
+      throw std::runtime_error("the settings have no callers' address");
+    }
+    process.emplace(path, LogPath());
+  }
+  ~RunningDaemon() {
+    process.reset();
+    std::remove(path.c_str());
+    std::remove(LogPath().c_str());
+  }
+  RunningDaemon(const RunningDaemon&) = delete;
+  RunningDaemon& operator=(const RunningDaemon&) = delete;
+
+  std::string LogPath() const { return path + ".log"; }
+
+  bool HasLogged(const std::string& event) const {
+    std::ifstream log(LogPath());
+    const std::string text(std::istreambuf_iterator<char>(log), {});
+    return text.find("name=" + event) != std::string::npos;
+  }
+
+  /// Returns a caller whose request to `route` has reached an upstream.
+  /// Repeats requests that are rejected, as the daemon does until it has read
+  /// the configuration and the upstreams.
+  std::unique_ptr<Caller> SendUntilTaken(const std::string& route,
+                                         const FakeUpstream& upstream) {
+    std::unique_ptr<Caller> caller;
+    const size_t seen = upstream.seen().size();
+    const bool taken = fixture.RunUntil([&] {
+      if (!caller || caller->Status() == kRejected) {
+        caller = std::make_unique<Caller>(fixture.context);
+        if (!caller->SendRequest(address, 1, route)) {
+          caller.reset();
+        }
+      }
+      return upstream.seen().size() > seen;
+    });
+    if (!taken) {
+      throw std::runtime_error("no request reached an upstream");
+    }
+    return caller;
+  }
+
+  /// Sends SIGTERM and waits until the daemon has begun to stop.
+  bool BeginStop() {
+    process->SendSignal(SIGTERM);
+    return fixture.RunUntil([this] { return HasLogged("drain_started"); });
+  }
+  bool WaitForExit() {
+    return fixture.RunUntil([this] { return process->ExitCode().has_value(); });
+  }
+
+  static constexpr int kRejected = 503;
+
+  PlatformFixture& fixture;
+  std::string path = std::tmpnam(nullptr);
+  boost::asio::ip::tcp::endpoint address;
+  std::optional<DaemonProcess> process;
+};
+
+}  // namespace dandelion::test
--- a/test/fake-store.cc
+++ b/test/fake-store.cc
@@ -1,5 +1,6 @@
 #include "test/fake-store.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -83,10 +84,35 @@
   }
 }
 
+std::string FakeStore::NewestValue(const std::string& key,
+                                   const std::string& topic) {
+  const std::vector<Item>& items = topics_[topic].items;
+  const auto newest =
+      std::find_if(items.rbegin(), items.rend(),
+                   [&key](const Item& item) { return item.key == key; });
+  return newest == items.rend() ? std::string() : newest->value;
+}
+
+http::Response FakeStore::Append(Records& records,
+                                 const http::Request& request) {
+  const std::string as_of = request.Query("as-of");
+  if (!as_of.empty() && as_of != std::to_string(records.items.size())) {
+    return http::JsonResponse(412,
+                              json({{"end", records.items.size()}}).dump());
+  }
+  const std::string_view record =
+      std::string_view(request.body).substr(kLengthBytes);
+  const size_t key_length = static_cast<unsigned char>(record.at(0));
+  records.items.push_back({std::string(record.substr(1, key_length)),
+                           std::string(record.substr(1 + key_length))});
+  return http::JsonResponse(
+      200, json({{"offset", records.items.size() - 1}}).dump());
+}
+
 Task<void> FakeStore::HandleRequest(http::Exchange& exchange) {
   http::Response response;
   const http::Request& request = exchange.request();
-  const Records& records = topics_[request.Query("topic")];
+  Records& records = topics_[request.Query("topic")];
   if (failure_status_ != 0) {
     response.status = failure_status_;
   } else if (request.Path() == "/v1/log-newest") {
@@ -98,6 +124,8 @@
       co_await base::SleepFor(kReadWait);
     }
     response = MakeReadResponse(records.items, records.first_kept, from);
+  } else if (request.Path() == "/v1/log-append") {
+    response = Append(records, request);
   } else {
     response = http::JsonResponse(200, "{}");
   }
--- a/test/fake-store.h
+++ b/test/fake-store.h
@@ -17,6 +17,8 @@
   void AppendRecord(const std::string& key,
                     const std::string& value,
                     const std::string& topic = "keyed.servers");
+  /// The newest value of a key; empty if there is none.
+  std::string NewestValue(const std::string& key, const std::string& topic);
   /// Deletes all records from the logs: reads that start before the current end
   /// fail with 410, while the newest records can still be read.
   void TruncateHistory();
@@ -34,6 +36,7 @@
     size_t first_kept = 0;
   };
 
+  static http::Response Append(Records& records, const http::Request& request);
   base::Task<void> HandleRequest(http::Exchange& exchange);
 
   std::map<std::string, Records> topics_;
--- a/test/forward-support.cc
+++ b/test/forward-support.cc
@@ -170,15 +170,29 @@
           base::HostId("front-1"),
           {[](const base::PartId&, const base::UpstreamId&) {},
            [](const base::PartId&, int64_t) {}, [](const base::PartId&) {}}),
+      rollouts(base::HostId("front-1"),
+               upstreams,
+               rollout::ExposureBound(),
+               {[] { return true; },
+                [this](const base::UpstreamId& id) {
+                  return loads.TotalLoad(id).running;
+                },
+                [this](const base::UpstreamId& id) {
+                  migrator->MigrateFrom(id, "its version is replaced");
+                },
+                [](const rollout::Decision&, std::string_view) {}}),
       clock_([this, host = base::Clock::BootTime()] {
         return host.Now() + clock_offset_;
       }),
       protocol_(platform::MakePlatformProtocol()) {
   placer = std::make_unique<relay::Placer>(
       clock_, base::DataCentreId("dc-a"), upstreams, loads, health,
-      self_reports, relay::Placer::Hooks{[](const base::UpstreamId&) {
-        return routing::DaemonRank();
-      }});
+      self_reports,
+      relay::Placer::Hooks{
+          [](const base::UpstreamId&) { return routing::DaemonRank(); },
+          [this](const base::PoolName& pool) {
+            return rollouts.RuleFor(pool, Now());
+          }});
   migrator = std::make_unique<migration::Migrator>(
       executor(), clock_, engines,
       migration::Migrator::Hooks{
@@ -196,7 +210,7 @@
           }});
   forwarder_ = std::make_unique<relay::Forwarder>(relay::ForwardServices{
       executor(), clock_, protocol_, *placer, *migrator, engines, health,
-      self_reports, retry_budget, metrics, stop, quarantine,
+      self_reports, retry_budget, metrics, stop, quarantine, rollouts,
       [] { return size_t{1}; },
       [this] {
         return relay::AdmissionState{catalogue_, catalogue_age, Millis(4000),
--- a/test/forward-support.h
+++ b/test/forward-support.h
@@ -165,6 +165,7 @@
   base::Millis catalogue_age{0};
   admission::StopDeadline stop;
   admission::PartQuarantine quarantine;
+  rollout::Rollouts rollouts;
 
  private:
   void RegisterUpstream(const std::string& id,
