--- a/src/admission/slot_service.cc
+++ b/src/admission/slot_service.cc
@@ -214,7 +214,8 @@
     const SlotLimits limits{upstream.slots, upstream.cold_slots};
     owner_.AddUpstream(id, limits, /*no_prior_leases=*/false);
     if (polling_.insert(id).second) {
-      base::SpawnRestarting(executor_, [this, id] { return PollReports(id); });
+      base::SpawnRestarting(executor_,
+                            [this, owned = id] { return PollReports(owned); });
     }
   }
 }
--- a/src/rollout/version_choice.cc
+++ b/src/rollout/version_choice.cc
@@ -16,7 +16,8 @@
 }
 
 // Keeps as many upstreams of `targets` as `share` is of `old_count`, rounded
-// down so that none is less loaded than an old one if there are enough requests.
+// down so that none is less loaded than an old one if there are enough
+// requests.
 void Reduce(double share, size_t old_count, Upstreams* targets) {
   const double wanted = std::floor(share * static_cast<double>(old_count));
   const size_t kept = std::clamp<size_t>(static_cast<size_t>(wanted), 1,
