Follow a changed header limit on connections that are open

The bound of a connection's read buffer was taken when it opened, so that a configuration that raised the header limit later reached new connections only. It is now set for each request. Found by reading; the tests of the server, of endless bytes and of unexpected requests pass.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -159,9 +159,9 @@
 
   Task<void> ServeRequests(const Handler& handler,
                            const bool& close_after_response) {
-    beast::flat_buffer buffer(
-        std::max(limits_.header_bytes, kMinUnparsedBytes));
+    beast::flat_buffer buffer;
     while (!broken_) {
+      buffer.max_size(std::max(limits_.header_bytes, kMinUnparsedBytes));
       bhttp::request_parser<bhttp::string_body> parser;
       parser.header_limit(static_cast<uint32_t>(limits_.header_bytes));
       parser.body_limit(limits_.body_bytes);
