Let a part of an upstream's limit that passes to a daemon rest for a window

Cause: the parts of a limit follow the daemons' ranks. As daemons come and go they pass to others at once, which have sent nothing yet, while what the former holders have sent is still in the window.

Change: a part that grows counts one window later; a limit that is named anew counts at once.

--- a/src/routing/self_reports.cc
+++ b/src/routing/self_reports.cc
@@ -80,6 +80,7 @@
     return;
   }
   state.requests_per_second = requests_per_second;
+  state.share.reset();
   state.changed = true;
   hooks_.on_limit(id, requests_per_second);
 }
@@ -141,6 +142,22 @@
   return std::max({now, state.paused_until, LimitFreeAt(id, state, now)});
 }
 
+int64_t SelfReports::SettledShare(State& state, int64_t share, Millis now) {
+  if (!state.share || share <= *state.share) {
+    state.share = share;
+    state.share_rises_at.reset();
+    return share;
+  }
+  if (!state.share_rises_at) {
+    state.share_rises_at = now + kLimitWindow;
+  }
+  if (now >= *state.share_rises_at) {
+    state.share = share;
+    state.share_rises_at.reset();
+  }
+  return *state.share;
+}
+
 Millis SelfReports::LimitFreeAt(const UpstreamId& id,
                                 State& state,
                                 Millis now) const {
@@ -151,8 +168,8 @@
   const DaemonRank rank = hooks_.rank(id);
   const int64_t in_window =
       RequestsAllowed(*state.requests_per_second, kLimitWindow);
-  const Millis free_in_window =
-      state.sends.FreeAt(ShareOf(in_window, rank), now, kLimitWindow);
+  const Millis free_in_window = state.sends.FreeAt(
+      SettledShare(state, ShareOf(in_window, rank), now), now, kLimitWindow);
   // Where there are fewer requests than daemons, those that have a part of the
   // short window share the long one.
   const DaemonRank long_rank = {
--- a/src/routing/self_reports.h
+++ b/src/routing/self_reports.h
@@ -124,6 +124,10 @@
     std::optional<base::Millis> limit_said_at;
     base::Millis paused_until{0};
     SendWindow sends;
+    /// This daemon's part of the limit in the short window, and when a larger
+    /// one may be used.
+    std::optional<int64_t> share;
+    std::optional<base::Millis> share_rises_at;
     bool changed = false;
     /// When the upstream was last listed or answered.
     base::Millis last_seen_at;
@@ -136,6 +140,10 @@
                 State& state,
                 std::optional<double> requests_per_second,
                 base::Millis said_at);
+  /// Returns the part of a limit that this daemon may use. One that has grown
+  /// because daemons came or went counts a window later, when what others have
+  /// sent on it is over.
+  static int64_t SettledShare(State& state, int64_t share, base::Millis now);
   base::Millis LimitFreeAt(const base::UpstreamId& id,
                            State& state,
                            base::Millis now) const;
--- a/test/self-reports-test.cc
+++ b/test/self-reports-test.cc
@@ -51,8 +51,8 @@
       };
       hooks.on_limit = [](const UpstreamId&, std::optional<double>) {};
       hooks.on_pause = [](const UpstreamId&, Millis) {};
-      hooks.rank = [rank, daemons](const UpstreamId&) {
-        return DaemonRank{rank, daemons};
+      hooks.rank = [this, rank, daemons](const UpstreamId&) {
+        return DaemonRank{(rank + shift) % daemons, daemons};
       };
       fleet.push_back(std::make_unique<SelfReports>(hooks));
       fleet.back()->OnListed(kUpstream, kStartedAt, Millis(0));
@@ -78,6 +78,8 @@
 
   std::vector<std::unique_ptr<SelfReports>> fleet;
   Millis now{0};
+  /// By how much the ranks have changed since the start.
+  size_t shift = 0;
   int leaving_notices = 0;
 };
 
@@ -93,6 +95,26 @@
   return most;
 }
 
+// Daemons that come and go change the ranks of the others, so that parts of the
+// limit pass from some to others.
+TEST_CASE("a limit is exceeded when its parts pass to other daemons",
+          "[self_reports]") {
+  constexpr size_t kDaemons = 62;
+  ReportsFixture fixture(kDaemons);
+  for (const auto& daemon : fixture.fleet) {
+    daemon->RecordAnswer(kUpstream, Limit(1), fixture.now);
+  }
+  std::vector<Millis> sends = fixture.SendAsMuchAsAllowed(Millis(5000));
+  for (int changes = 1; changes <= 4; ++changes) {
+    fixture.shift += 10;
+    const std::vector<Millis> more =
+        fixture.SendAsMuchAsAllowed(Millis(5000 + changes * 1500));
+    sends.insert(sends.end(), more.begin(), more.end());
+  }
+  // One and a half times the limit, and five.
+  CHECK(MostIn(sends, Millis(4000)) <= 11);
+}
+
 TEST_CASE("a limited upstream gets more than its limit from the fleet",
           "[self_reports]") {
   const auto daemons = static_cast<size_t>(GENERATE(1, 8, 82));
