Bound the memory of callers' requests, and take connections from those that stay

Change: http::RequestMemory charges each request before more of it is read; the arriving one with the most bytes x time gives way with a 503 that is true. At the limit of connections, the one that has waited longest for the rest of its request makes room. Freed blocks of 128 KiB and more return to the system.

Ruled out: not reading while there is no room (unread bytes count as well).

--- a/src/http/server.h
+++ b/src/http/server.h
@@ -26,9 +26,13 @@
   /// A caller that does not accept a write within this time is disconnected.
   base::Millis write_timeout = base::Millis(30'000);
   /// Open connections. At the limit, or without a free descriptor, the one that
-  /// has waited longest for another request is closed to make room.
+  /// has waited longest for another request is closed to make room. At the
+  /// limit, one that waits for the rest of its request may be closed, too.
   size_t connections = 4096;
   size_t connections_per_address = 2048;
+  /// Memory for all requests that arrive or are in progress. Without room for
+  /// more, an arriving request is refused; see `RequestMemory`.
+  size_t request_memory_bytes = size_t{48} * 1000 * 1000;
 };
 
 /// A request and the means to respond to it: either `Respond`, or
@@ -66,6 +70,12 @@
   std::function<void()> on_accepted;
   /// The server is at one of its limits and rejects a connection.
   std::function<void()> on_rejected;
+  /// A connection was closed that had waited too long for a request, or for the
+  /// rest of one, to make room for another.
+  std::function<void()> on_displaced;
+  /// A request that held `held_bytes` was refused for want of memory, while all
+  /// requests held `used_bytes`.
+  std::function<void(size_t held_bytes, size_t used_bytes)> on_memory_refused;
   /// Accepting began to fail, with the system's error.
   std::function<void(std::string_view reason)> on_accept_failed;
   /// The handler of a request has thrown; its connection is closed.
@@ -119,6 +129,8 @@
   size_t arriving() const;
   /// Number of open connections.
   size_t connections() const;
+  /// Bytes that requests hold which arrive or are in progress.
+  size_t request_memory() const;
   /// Whether new connections are taken: the server listens, accepting does not
   /// fail, and there is room or a connection that can be closed to make some.
   /// Readiness must depend on it.
--- a/src/kernel/daemon.cc
+++ b/src/kernel/daemon.cc
@@ -57,6 +57,7 @@
   limits.body_bytes = tuning.body_bytes;
   limits.connections = std::min(tuning.connections, CallerConnectionLimit(0));
   limits.connections_per_address = tuning.connections_per_address;
+  limits.request_memory_bytes = tuning.request_memory_bytes;
   return limits;
 }
 
@@ -593,6 +594,8 @@
     metrics_.SetInFlight(static_cast<double>(entry_server_.in_flight()));
     metrics_.SetQueued(static_cast<double>(dispatcher_.queued()));
     metrics_.SetConnections(static_cast<double>(entry_server_.connections()));
+    metrics_.SetRequestMemory(
+        static_cast<double>(entry_server_.request_memory()));
     if (transport_) {
       ExportTransportCounts(transport_->counts(), &exported_counts_, metrics_);
     }
--- a/src/kernel/fleet_daemon.cc
+++ b/src/kernel/fleet_daemon.cc
@@ -52,6 +52,8 @@
 constexpr Millis kFirstReadDelay{250};
 // Share of the host's link that answers to pulls of records may take.
 constexpr double kAnswerLinkShare = 0.4;
+// Share of the process's memory that callers' requests may take.
+constexpr double kRequestMemoryShare = 0.5;
 // The store counts as silent if the upstreams' topic was last verified longer
 // ago than this; engines are then polled for their own reports.
 constexpr Millis kStoreSilentAfter{1200};
@@ -462,6 +464,8 @@
     ExportTransportCounts(transport_->counts(), &exported_counts_, metrics_);
     metrics_.SetConnections(static_cast<double>(caller_server_.connections()));
     metrics_.SetInFlight(static_cast<double>(caller_server_.in_flight()));
+    metrics_.SetRequestMemory(
+        static_cast<double>(caller_server_.request_memory()));
     http::Response response;
     response.headers.Add("Content-Type", "text/plain; version=0.0.4");
     response.body = metrics_.SerializeAsText();
@@ -544,6 +548,8 @@
     http::ServerLimits limits;
     limits.connections = CallerConnectionLimit(settings_.max_descriptors);
     limits.connections_per_address = limits.connections;
+    limits.request_memory_bytes = static_cast<size_t>(
+        static_cast<double>(settings_.memory_bytes) * kRequestMemoryShare);
     return limits;
   }
 
--- a/src/kernel/fleet_settings.cc
+++ b/src/kernel/fleet_settings.cc
@@ -21,6 +21,7 @@
 // the clock of the operator.
 constexpr Millis kKeyLifetimeMargin{600};
 constexpr int64_t kMsPerSecond = 1000;
+constexpr double kBytesPerMb = 1e6;
 
 absl::Status InvalidField(const std::string& field,
                           const std::string& problem) {
@@ -151,6 +152,11 @@
        NumberField([](double count, FleetSettings* settings) {
          settings->max_descriptors = static_cast<size_t>(count);
        })},
+      {"memory_mb", NumberField([](double mb, FleetSettings* settings) {
+         if (mb > 0) {
+           settings->memory_bytes = static_cast<int64_t>(mb * kBytesPerMb);
+         }
+       })},
       {"processor_share",
        NumberField([](double share, FleetSettings* settings) {
          settings->processor_share = share;
--- a/src/kernel/fleet_settings.h
+++ b/src/kernel/fleet_settings.h
@@ -41,6 +41,8 @@
   base::Millis retry_window{10'000};
   /// Descriptors that the process may have open; 0 if not known.
   size_t max_descriptors = 0;
+  /// Memory that the process may use. Half of it is for callers' requests.
+  int64_t memory_bytes = INT64_C(96'000'000);
   /// Processor of the host, in cores; 0 if not known.
   double processor_share = 0;
   /// Speed of the host's link; 0 if not known.
--- a/src/kernel/serving_telemetry.cc
+++ b/src/kernel/serving_telemetry.cc
@@ -36,6 +36,17 @@
            {{"connections", absl::StrCat(connections())}});
     }
   };
+  hooks.on_displaced = [&metrics, connections] {
+    metrics.Add(CounterId::kConnectionsDisplaced);
+    Emit(Event::kCallerDisplaced,
+         {{"connections", absl::StrCat(connections())}});
+  };
+  hooks.on_memory_refused = [&metrics](size_t held_bytes, size_t used_bytes) {
+    metrics.Add(CounterId::kMemoryRefusals);
+    Emit(Event::kRequestMemoryRefused,
+         {{"held_bytes", absl::StrCat(held_bytes)},
+          {"used_bytes", absl::StrCat(used_bytes)}});
+  };
   hooks.on_accept_failed = [&metrics, connections](std::string_view reason) {
     metrics.Add(CounterId::kAcceptFailures);
     Emit(Event::kAcceptFailed, {{"reason", std::string(reason)},
--- a/src/kernel/settings.cc
+++ b/src/kernel/settings.cc
@@ -8,6 +8,7 @@
 #include "absl/strings/str_cat.h"
 #include "base/error.h"
 #include "config/problem.h"
+#include "http/request_memory.h"
 #include "http/server.h"
 
 namespace dandelion::kernel {
@@ -61,6 +62,7 @@
         "header_bytes": {"type": "integer", "minimum": 1024},
         "connections": {"type": "integer", "minimum": 1},
         "connections_per_address": {"type": "integer", "minimum": 1},
+        "request_memory_bytes": {"type": "integer", "minimum": 1048576},
         "metric_organisations": {"type": "integer", "minimum": 1}}}
   }
 })json";
@@ -124,9 +126,22 @@
   read_size("header_bytes", &out->header_bytes);
   read_size("connections", &out->connections);
   read_size("connections_per_address", &out->connections_per_address);
+  read_size("request_memory_bytes", &out->request_memory_bytes);
   read_size("metric_organisations", &out->metric_organisations);
 }
 
+// Adds a problem if the memory for requests has no room for the largest one.
+void CheckRequestMemory(const Tuning& tuning, std::vector<Problem>* problems) {
+  const size_t needed =
+      http::RequestMemory::LimitFor(tuning.body_bytes, tuning.header_bytes);
+  if (tuning.request_memory_bytes < needed) {
+    problems->push_back(
+        {"$.tuning.request_memory_bytes",
+         "has no room for a request of body_bytes and header_bytes",
+         absl::StrCat("set at least ", needed, ", or a lower body_bytes")});
+  }
+}
+
 }  // namespace
 
 absl::StatusOr<Settings> ParseSettings(std::string_view text) {
@@ -151,6 +166,7 @@
   settings.keys.resume_key = keys.at("resume");
   settings.keys.operator_token = keys.at("operator_token");
   ParseTuning(document.value("tuning", json::object()), &settings.tuning);
+  CheckRequestMemory(settings.tuning, &problems);
   if (!problems.empty()) {
     return config::ToStatus(ErrorKind::kInvalidSettings, problems);
   }
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -54,6 +54,8 @@
   /// Callers' connections, in total and from one address.
   size_t connections = 4096;
   size_t connections_per_address = 2048;
+  /// Memory for all requests of callers that arrive or are in progress.
+  size_t request_memory_bytes = 48UL * 1000 * 1000;
   /// Organisations with metrics of their own; the others share "other".
   size_t metric_organisations = 200;
 };
--- a/src/main.cc
+++ b/src/main.cc
@@ -12,6 +12,7 @@
 #include <string>
 
 #include "absl/cleanup/cleanup.h"
+#include "base/heap.h"
 #include "base/process_end.h"
 #include "base/task.h"
 #include "kernel/daemon.h"
@@ -144,6 +145,7 @@
 }  // namespace dandelion
 
 int main(int argc, char** argv) {
+  dandelion::base::ReturnLargeBlocks();
   std::signal(SIGPIPE, SIG_IGN);
   return dandelion::Main(argc, const_cast<const char**>(argv));
 }
--- a/src/telemetry/events.h
+++ b/src/telemetry/events.h
@@ -61,6 +61,8 @@
   kAcceptFailed = 241,
   kAcceptResumed = 242,
   kCallerRejected = 243,
+  kRequestMemoryRefused = 244,
+  kCallerDisplaced = 245,
   kUpstreamListed = 410,
   kUpstreamEjected = 412,
   kUpstreamReadmitted = 413,
--- a/src/telemetry/metrics.cc
+++ b/src/telemetry/metrics.cc
@@ -76,6 +76,12 @@
     CounterRow{CounterId::kConnectionsRejected,
                "dandelion_connections_rejected_total",
                "Connections rejected at their limit"},
+    CounterRow{CounterId::kConnectionsDisplaced,
+               "dandelion_connections_displaced_total",
+               "Connections closed at their limit that had no whole request"},
+    CounterRow{CounterId::kMemoryRefusals,
+               "dandelion_requests_refused_for_memory_total",
+               "Requests refused for want of memory"},
     CounterRow{CounterId::kAcceptFailures, "dandelion_accept_failures_total",
                "Times at which accepting connections began to fail"},
     CounterRow{CounterId::kPeerSeconds, "dandelion_peer_seconds_total",
@@ -129,6 +135,9 @@
     leased_slots_ = &MakeGauge("dandelion_leased_slots", "Slots held by lease");
     in_flight_ = &MakeGauge("dandelion_in_flight", "Requests in progress");
     queued_ = &MakeGauge("dandelion_queued", "Requests that wait for a slot");
+    request_memory_ =
+        &MakeGauge("dandelion_request_memory_bytes",
+                   "Memory of requests that arrive or are in progress");
     connections_ =
         &MakeGauge("dandelion_connections", "Open connections of callers");
     loop_lag_ = &MakeGauge("dandelion_loop_lag_seconds",
@@ -174,6 +183,7 @@
   prometheus::Gauge* in_flight_;
   prometheus::Gauge* queued_;
   prometheus::Gauge* connections_;
+  prometheus::Gauge* request_memory_;
   prometheus::Gauge* loop_lag_;
 
  private:
@@ -227,6 +237,9 @@
 void Metrics::SetConnections(double connections) {
   impl_->connections_->Set(connections);
 }
+void Metrics::SetRequestMemory(double bytes) {
+  impl_->request_memory_->Set(bytes);
+}
 void Metrics::SetLoopLag(double seconds) {
   impl_->loop_lag_->Set(seconds);
 }
--- a/src/telemetry/metrics.h
+++ b/src/telemetry/metrics.h
@@ -31,6 +31,8 @@
   kPartsQuarantined,
   kConnectionsAccepted,
   kConnectionsRejected,
+  kConnectionsDisplaced,
+  kMemoryRefusals,
   kAcceptFailures,
   kPeerSeconds,
 };
@@ -64,6 +66,8 @@
   void SetInFlight(double requests);
   void SetQueued(double requests);
   void SetConnections(double connections);
+  /// Memory of callers' requests that arrive or are in progress.
+  void SetRequestMemory(double bytes);
   /// Time by which the event loop last ran a task late.
   void SetLoopLag(double seconds);
   /// Share of a pool's requests that goes to the version that is rolled out.
--- a/test/daemon-support.h
+++ b/test/daemon-support.h
@@ -54,6 +54,7 @@
   DaemonProcess& operator=(const DaemonProcess&) = delete;
 
   void SendSignal(int signal) { kill(pid_, signal); }
+  pid_t pid() const { return pid_; }
   /// Empty while the process runs; -1 if it was ended by a signal.
   std::optional<int> ExitCode() {
     int status = 0;
@@ -131,14 +132,16 @@
          {"callers", "readiness", "metrics", "peer_address"}) {
       settings[name] = FindFreeAddress();
     }
+    settings.update(more_settings);
     return settings;
   }
 
   /// Runs the event loop until `condition` holds. Returns false if it does not
-  /// hold within 20 s.
-  bool RunUntil(const std::function<bool()>& condition) {
-    const auto deadline =
-        std::chrono::steady_clock::now() + std::chrono::seconds(20);
+  /// hold within `limit`.
+  bool RunUntil(const std::function<bool()>& condition,
+                base::Millis limit = base::Millis(20'000)) {
+    const auto deadline = std::chrono::steady_clock::now() +
+                          std::chrono::milliseconds(limit.count());
     context.restart();
     while (!condition()) {
       if (std::chrono::steady_clock::now() > deadline) {
@@ -151,6 +154,8 @@
 
   boost::asio::io_context context;
   FakeStore store;
+  /// Fields that `MakeSettings` adds or replaces.
+  json more_settings = json::object();
 };
 
 /// A caller that sends one request and collects the response.
--- a/test/support.h
+++ b/test/support.h
@@ -77,6 +77,7 @@
   /// Waits for the end of a process. Returns its exit code, or -1 if a signal
   /// ended it.
   int Wait(const std::string& name);
+  pid_t pid(const std::string& name) const { return processes_.at(name).pid; }
   /// Runs dandelionctl and returns its exit code, or -1 if a signal ended it.
   int RunDandelionctl(std::vector<std::string> arguments);
   /// Publishes the tables and waits until every daemon is ready, sees all its
