Take no part of an upstream's limit before the rest of the fleet is known

Cause: a daemon that starts takes itself for the only one until it has heard others.

Change: Mesh::KnowsFleet holds a second after the first contact, once the store's list was added, or after six seconds alone; until then DaemonRank says so and ShareOf is 0. Daemons that became known in the last three seconds count as up until they are found to be silent.

Not shown with processes.

--- a/src/kernel/fleet_daemon.cc
+++ b/src/kernel/fleet_daemon.cc
@@ -314,6 +314,7 @@
                              base::DataCentreId(peer.data_centre),
                              peer.capacity});
           }
+          mesh_.RecordListed();
           co_return;
         }
       }
@@ -704,7 +705,7 @@
   }
 
   routing::DaemonRank RankFor(const UpstreamId& id) const {
-    return {mesh_.RankFor(id.value()), mesh_.DaemonCount()};
+    return {mesh_.RankFor(id.value()), mesh_.DaemonCount(), mesh_.KnowsFleet()};
   }
 
   // Records what an engine said in its answer to an order. Such an answer need
--- a/src/membership/mesh.cc
+++ b/src/membership/mesh.cc
@@ -62,6 +62,7 @@
            int64_t answer_bytes_per_second,
            Hooks hooks)
     : clock_(clock),
+      started_at_(clock.Now()),
       hooks_(std::move(hooks)),
       roster_(self, clock),
       timestamps_(clock),
@@ -91,6 +92,18 @@
   roster_.Add(daemon);
 }
 
+bool Mesh::KnowsFleet() const {
+  const Millis now = clock_.Now();
+  const bool is_introduced =
+      first_contact_at_ && now - *first_contact_at_ >= kIntroductionTime;
+  return is_listed_ || is_introduced || now - started_at_ >= kAloneAfter;
+}
+
+void Mesh::RecordListed() {
+  is_listed_ = true;
+  roster_.Update();
+}
+
 void Mesh::AddSeed(const std::string& address) {
   if (address != roster_.self().address) {
     seeds_.push_back({{SeedName(address), address}});
@@ -136,7 +149,9 @@
     return;  // It claims this daemon's own address.
   }
   roster_.RecordContact(from, heartbeat.draining());
-  has_contact_ = true;
+  if (!first_contact_at_) {
+    first_contact_at_ = clock_.Now();
+  }
   const Millis now = clock_.Now();
   if (heartbeat.reports() || known != links_.end()) {
     Link& link = OpenLink(from);
@@ -487,7 +502,7 @@
     }
   }
   next_seeds_at_ = now + (is_delegate_   ? kReunionInterval
-                          : has_contact_ ? kSeedInterval
+                          : HasContact() ? kSeedInterval
                                          : kConnectRetryInterval);
 }
 
--- a/src/membership/mesh.h
+++ b/src/membership/mesh.h
@@ -74,6 +74,11 @@
   /// If no `Tick` came for longer than this, the process was suspended or busy,
   /// and the silence of others says nothing.
   static constexpr base::Millis kMaxTickGap{400};
+  /// Time from the first contact until the views of delegates are here.
+  static constexpr base::Millis kIntroductionTime{1000};
+  /// A daemon that has heard nobody, and has no list of the others, takes
+  /// itself for the only one after this time.
+  static constexpr base::Millis kAloneAfter{6000};
 
   struct Hooks {
     std::function<void(const base::HostId&, const proto::Envelope&)> send;
@@ -156,7 +161,14 @@
   void SetDraining();
 
   /// Whether any other daemon has been heard.
-  bool HasContact() const { return has_contact_; }
+  bool HasContact() const { return first_contact_at_.has_value(); }
+  /// All daemons that the platform lists were added.
+  void RecordListed();
+  /// Whether the daemons that share limits with this one are known: one of them
+  /// was heard and had time to tell of the others, or the platform's list was
+  /// added. A daemon that has neither for `kAloneAfter` takes itself for the
+  /// only one.
+  bool KnowsFleet() const;
   /// Whether this daemon is a delegate of its data centre.
   bool IsDelegate() const { return is_delegate_; }
   /// Whether this daemon is a delegate or will be one after `kWarmUp`.
@@ -279,6 +291,7 @@
   proto::FleetPull MakePull() const;
 
   base::Clock clock_;
+  base::Millis started_at_;
   Hooks hooks_;
   Roster roster_;
   TimestampSource timestamps_;
@@ -293,7 +306,9 @@
   std::vector<Seed> seeds_;
   bool is_delegate_ = false;
   std::optional<base::Millis> candidate_since_;
-  bool has_contact_ = false;
+  /// When another daemon was first heard.
+  std::optional<base::Millis> first_contact_at_;
+  bool is_listed_ = false;
   bool draining_ = false;
   /// The delegate that this daemon goes by; empty if it is one itself or has
   /// none.
--- a/src/membership/roster.cc
+++ b/src/membership/roster.cc
@@ -73,6 +73,7 @@
     entry = Entry();
     entry.hash = HashDaemon(daemon.id);
     entry.seen_at = clock_.Now();
+    entry.added_at = clock_.Now();
   }
   entry.info = daemon;
   return true;
@@ -164,7 +165,7 @@
     }
   }
   for (auto& [id, entry] : entries_) {
-    if (IsInContact(entry)) {
+    if (IsInContact(entry) || IsPresumedUp(entry)) {
       alive.insert(entry.hash);
     }
     if (alive.contains(entry.hash)) {
@@ -180,6 +181,11 @@
   }
 }
 
+bool Roster::IsPresumedUp(const Entry& entry) const {
+  return !entry.contact_at && !entry.silent_at &&
+         clock_.Now() - entry.added_at < kPresumedUpFor;
+}
+
 bool Roster::MayBeDelegate(const Entry& entry,
                            const std::optional<View>& view) const {
   if (entry.draining) {
--- a/src/membership/roster.h
+++ b/src/membership/roster.h
@@ -57,6 +57,9 @@
   /// if their data centre is only cut off, they still use their shares. Views
   /// come every second or so, which leaves ten seconds from the cut.
   static constexpr base::Millis kCountLifetime{12'000};
+  /// A daemon that was never in contact counts as up for this long after it
+  /// became known: all may have started at the same time.
+  static constexpr base::Millis kPresumedUpFor{3000};
   /// A daemon that is in no view for this long is removed.
   static constexpr base::Millis kForgetAfter{30'000};
 
@@ -133,6 +136,7 @@
     DaemonHash hash = 0;
     /// When it was added, last in contact or last in a view.
     base::Millis seen_at;
+    base::Millis added_at;
     std::optional<base::Millis> contact_at;
     /// When it was found to be silent; empty if it was not since the last
     /// contact.
@@ -147,6 +151,7 @@
   bool IsInContact(const Entry& entry) const;
   /// Whether the daemon may be a delegate, as far as is known. `view` is that
   /// of its data centre.
+  bool IsPresumedUp(const Entry& entry) const;
   bool MayBeDelegate(const Entry& entry, const std::optional<View>& view) const;
   void ExpireContacts();
 
--- a/src/routing/rate_share.cc
+++ b/src/routing/rate_share.cc
@@ -7,6 +7,9 @@
 using base::Millis;
 
 int64_t ShareOf(int64_t total, const DaemonRank& rank) {
+  if (!rank.is_known) {
+    return 0;
+  }
   const auto daemons = static_cast<int64_t>(rank.daemons);
   if (daemons <= 1) {
     return total;
--- a/src/routing/rate_share.h
+++ b/src/routing/rate_share.h
@@ -13,6 +13,9 @@
 struct DaemonRank {
   size_t rank = 0;
   size_t daemons = 1;
+  /// Whether this daemon knows who the others are. One that has just started
+  /// may not, and has no part of any limit until then.
+  bool is_known = true;
 };
 
 /// Returns this daemon's part of `total` requests that an upstream takes from
--- a/src/routing/self_reports.cc
+++ b/src/routing/self_reports.cc
@@ -173,8 +173,10 @@
   // Where there are fewer requests than daemons, those that have a part of the
   // short window share the long one.
   const DaemonRank long_rank = {
-      rank.rank, std::min(rank.daemons, static_cast<size_t>(
-                                            std::max<int64_t>(1, in_window)))};
+      rank.rank,
+      std::min(rank.daemons,
+               static_cast<size_t>(std::max<int64_t>(1, in_window))),
+      rank.is_known};
   const int64_t in_long_window =
       RequestsAllowed(*state.requests_per_second, kLongLimitWindow);
   return std::max(free_in_window,
--- a/test/mesh-test.cc
+++ b/test/mesh-test.cc
@@ -190,6 +190,63 @@
   }
 }
 
+// All daemons lose power, the seeds for good, and the store names the others
+// only after a while.
+TEST_CASE("daemons that start without seeds each take a whole limit",
+          "[mesh]") {
+  MeshFixture fleet;
+  std::vector<DaemonInfo> listed;
+  constexpr int kDataCentres = 3;
+  constexpr int kHosts = 3;
+  for (int i = 0; i < kDataCentres * kHosts; ++i) {
+    listed.push_back(MakeDaemon(i % kDataCentres, i, kSmallHost));
+    fleet.AddDaemon(listed.back());
+  }
+  // The list may still name daemons that are gone.
+  const bool some_are_gone = GENERATE(false, true);
+  if (some_are_gone) {
+    listed.push_back(MakeDaemon(0, kDataCentres * kHosts, kLargeHost));
+  }
+  constexpr int64_t kLimit = 20;
+  // The bound of the rule on cold upstreams, without its slack.
+  constexpr int64_t kMostAllowed = kLimit * 3 / 2;
+  const auto sum_of_shares = [&] {
+    int64_t sum = 0;
+    for (const MeshFixture::Daemon* daemon : fleet.All()) {
+      const membership::Mesh& mesh = *daemon->mesh;
+      sum += routing::ShareOf(
+          kLimit, {mesh.RankFor("u-1"), mesh.DaemonCount(), mesh.KnowsFleet()});
+    }
+    return sum;
+  };
+  constexpr Millis kStep(50);
+  constexpr int64_t kFirstListedAt = 1500;
+  constexpr int64_t kEnd = 8000;
+  size_t lists = 0;
+  for (int64_t at = 0; at < kEnd; at += kStep.count()) {
+    if (at >= kFirstListedAt && lists < fleet.All().size()) {
+      const MeshFixture::Daemon& daemon = *fleet.All()[lists++];
+      for (const DaemonInfo& other : listed) {
+        daemon.mesh->AddDaemon(other);
+      }
+      daemon.mesh->RecordListed();
+    }
+    fleet.Advance(kStep);
+    CAPTURE(at);
+    CHECK(sum_of_shares() <= kMostAllowed);
+  }
+  CHECK(sum_of_shares() == kLimit);
+}
+
+TEST_CASE("a daemon that hears nobody never serves alone", "[mesh]") {
+  MeshFixture fleet;
+  const MeshFixture::Daemon& daemon = fleet.AddDaemon("dc0-0");
+  fleet.Advance(membership::Mesh::kAloneAfter - Millis(100));
+  CHECK_FALSE(daemon.mesh->KnowsFleet());
+  fleet.Advance(Millis(200));
+  CHECK(daemon.mesh->KnowsFleet());
+}
+
 TEST_CASE("evidence reaches all data centres through a change of delegates",
           "[mesh]") {
   Fleet fleet(3, 8);
