--- a/src/kernel/fleet_daemon.cc
+++ b/src/kernel/fleet_daemon.cc
@@ -41,6 +41,8 @@
 using telemetry::Event;
 
 constexpr size_t kMetricOrganisations = 50;
+// Path of the roll-outs, beside the metrics.
+constexpr std::string_view kRolloutsPath = "/rollouts";
 // How often the daemon sends to peers, dispatches waiting requests and takes
 // part in the reader election.
 constexpr Millis kTickInterval{30};
@@ -467,6 +469,13 @@
     metrics_.SetInFlight(static_cast<double>(caller_server_.in_flight()));
     metrics_.SetRequestMemory(
         static_cast<double>(caller_server_.request_memory()));
+    if (exchange.request().Path() == kRolloutsPath) {
+      constexpr int kOk = 200;
+      (void)co_await exchange.Respond(
+          http::JsonResponse(kOk, rollouts_.DescribeAsJson()));
+      co_return;
+    }
+    rollouts_.ExportCounts();
     http::Response response;
     response.headers.Add("Content-Type", "text/plain; version=0.0.4");
     response.body = metrics_.SerializeAsText();
--- a/src/kernel/rollout_service.cc
+++ b/src/kernel/rollout_service.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -14,6 +15,7 @@
 
 using base::Millis;
 using base::Task;
+using nlohmann::json;
 using rollout::RecordedState;
 using rollout::Rollouts;
 using telemetry::Emit;
@@ -23,6 +25,10 @@
 constexpr Millis kCountInterval{250};
 constexpr Millis kRecordInterval{200};
 
+const char* SideName(rollout::Side side) {
+  return side == rollout::Side::kOld ? "old_version" : "target_version";
+}
+
 }  // namespace
 
 RolloutService::RolloutService(const base::HostId& self,
@@ -45,6 +51,45 @@
         return std::move(hooks);
       }()) {}
 
+std::string RolloutService::DescribeAsJson() const {
+  json list = json::array();
+  for (const Rollouts::View& view : rollouts_.Describe(clock_.Now())) {
+    json entry = {{"name", view.name.value()},
+                  {"pool", view.order.pool.value()},
+                  {"target", view.order.target.value()},
+                  {"limit_ms", view.order.time_limit.count()}};
+    if (view.decision) {
+      entry["state"] = rollout::ToString(view.decision->state);
+      entry["share"] = view.decision->share;
+      entry["decider"] = view.decision->decider.value();
+      entry["age_ms"] = view.decision_age.count();
+    }
+    for (const rollout::Side side : rollout::kSides) {
+      const rollout::RouteCounts sum = view.counts.side(side).Total();
+      entry[SideName(side)] = {{"sent", sum.sent},
+                               {"answered", sum.answered},
+                               {"failed", sum.failed}};
+    }
+    list.push_back(std::move(entry));
+  }
+  return list.dump();
+}
+
+void RolloutService::ExportCounts() {
+  for (const Rollouts::View& view : rollouts_.Describe(clock_.Now())) {
+    for (const rollout::Side side : rollout::kSides) {
+      const rollout::RouteCounts sum = view.counts.side(side).Total();
+      const auto set = [&](const char* outcome, int64_t count) {
+        metrics_.SetRolloutRequests(view.order.pool, SideName(side), outcome,
+                                    static_cast<double>(count));
+      };
+      set("sent", sum.sent);
+      set("answered", sum.answered);
+      set("failed", sum.failed);
+    }
+  }
+}
+
 void RolloutService::OnOrder(const fleet::RolloutOrder& order) {
   const bool removed = !order.order.has_value();
   Emit(Event::kRolloutOrdered,
--- a/src/kernel/rollout_service.h
+++ b/src/kernel/rollout_service.h
@@ -41,6 +41,10 @@
 
   /// Applies an operator's order, or its end.
   void OnOrder(const fleet::RolloutOrder& order);
+  /// The roll-outs as a JSON array, for operators.
+  std::string DescribeAsJson() const;
+  /// Sets the metrics that show what each version of a pool did.
+  void ExportCounts();
   void Tick() { rollouts_.Tick(clock_.Now()); }
   /// Adds counts and decisions to the heartbeats that carry loads and what
   /// upstreams said of themselves.
--- a/src/rollout/rollouts.cc
+++ b/src/rollout/rollouts.cc
@@ -225,6 +225,16 @@
   }
 }
 
+std::vector<Rollouts::View> Rollouts::Describe(Millis now) const {
+  std::vector<View> views;
+  for (const auto& [name, rollout] : rollouts_) {
+    views.push_back({name, rollout.order(), rollout.decision,
+                     rollout.decision ? now - rollout.decided_at : Millis(0),
+                     rollout.tracker.FleetSum()});
+  }
+  return views;
+}
+
 std::map<int64_t, Counts> Rollouts::CollectCounts(bool of_data_centre) const {
   std::map<int64_t, Counts> counts;
   for (const auto& [name, rollout] : rollouts_) {
--- a/src/rollout/rollouts.h
+++ b/src/rollout/rollouts.h
@@ -64,6 +64,18 @@
   /// milliseconds.
   void Tick(base::Millis now);
 
+  /// A roll-out as this daemon knows it.
+  struct View {
+    base::RolloutName name;
+    Order order;
+    /// Nothing if no decision is known.
+    std::optional<Decision> decision;
+    base::Millis decision_age{0};
+    /// What the fleet saw, as far as it was told to this daemon.
+    Counts counts;
+  };
+  std::vector<View> Describe(base::Millis now) const;
+
   /// The rule for a pool; nothing unless the pool is being rolled out.
   std::optional<VersionRule> RuleFor(const base::PoolName& pool,
                                      base::Millis now) const;
--- a/src/rollout/types.cc
+++ b/src/rollout/types.cc
@@ -108,6 +108,14 @@
   return sum;
 }
 
+RouteCounts SideCounts::Total() const {
+  RouteCounts total;
+  for (const auto& [route, counts] : routes) {
+    total += counts;
+  }
+  return total;
+}
+
 SideCounts& SideCounts::operator+=(const SideCounts& other) {
   for (const auto& [route, counts] : other.routes) {
     routes[route] += counts;
--- a/src/rollout/types.h
+++ b/src/rollout/types.h
@@ -122,6 +122,8 @@
   std::set<base::UpstreamId> broken;
 
   int64_t sent() const;
+  /// The sum over all routes.
+  RouteCounts Total() const;
   SideCounts& operator+=(const SideCounts& other);
   /// What came after `earlier` was counted; all broken upstreams are kept.
   SideCounts Since(const SideCounts& earlier) const;
--- a/src/telemetry/metrics.cc
+++ b/src/telemetry/metrics.cc
@@ -130,6 +130,11 @@
                  "Share of a pool's requests that goes to the version that "
                  "is rolled out")
              .Register(registry_);
+    rollout_requests_ =
+        &prometheus::BuildGauge()
+             .Name("dandelion_rollout_requests")
+             .Help("Requests of a pool since its roll-out was ordered")
+             .Register(registry_);
     config_version_ =
         &MakeGauge("dandelion_config_version", "Version in force");
     leased_slots_ = &MakeGauge("dandelion_leased_slots", "Slots held by lease");
@@ -178,6 +183,7 @@
   prometheus::Family<prometheus::Counter>* peer_traffic_messages_;
   prometheus::Family<prometheus::Counter>* peer_traffic_bytes_;
   prometheus::Family<prometheus::Gauge>* rollout_shares_;
+  prometheus::Family<prometheus::Gauge>* rollout_requests_;
   prometheus::Gauge* config_version_;
   prometheus::Gauge* leased_slots_;
   prometheus::Gauge* in_flight_;
@@ -246,6 +252,16 @@
 void Metrics::SetRolloutShare(const base::PoolName& pool, double share) {
   impl_->rollout_shares_->Add({{"pool", pool.value()}}).Set(share);
 }
+void Metrics::SetRolloutRequests(const base::PoolName& pool,
+                                 std::string_view version,
+                                 std::string_view outcome,
+                                 double requests) {
+  impl_->rollout_requests_
+      ->Add({{"pool", pool.value()},
+             {"version", std::string(version)},
+             {"outcome", std::string(outcome)}})
+      .Set(requests);
+}
 double Metrics::ValueOf(CounterId counter) const {
   return impl_->counters_.at(counter)->Value();
 }
--- a/src/telemetry/metrics.h
+++ b/src/telemetry/metrics.h
@@ -72,6 +72,11 @@
   void SetLoopLag(double seconds);
   /// Share of a pool's requests that goes to the version that is rolled out.
   void SetRolloutShare(const base::PoolName& pool, double share);
+  /// Requests of a pool that is rolled out, by version and what became of them.
+  void SetRolloutRequests(const base::PoolName& pool,
+                          std::string_view version,
+                          std::string_view outcome,
+                          double requests);
   /// The current value of a counter.
   double ValueOf(CounterId counter) const;
 
--- a/test/daemon-support.h
+++ b/test/daemon-support.h
@@ -217,8 +217,10 @@
     const nlohmann::json settings = fixture.MakeSettings();
     std::ofstream(path) << settings.dump();
     if (!http::ParseEndpoint(settings["callers"].get<std::string>(),
-                             &address)) {
-      throw std::runtime_error("the settings have no callers' address");
+                             &address) ||
+        !http::ParseEndpoint(settings["metrics"].get<std::string>(),
+                             &metrics)) {
+      throw std::runtime_error("the settings lack an address");
     }
     process.emplace(path, LogPath());
   }
@@ -274,6 +276,7 @@
   PlatformFixture& fixture;
   std::string path = std::tmpnam(nullptr);
   boost::asio::ip::tcp::endpoint address;
+  boost::asio::ip::tcp::endpoint metrics;
   std::optional<DaemonProcess> process;
 };
 
--- a/tools/fleet_commands.cc
+++ b/tools/fleet_commands.cc
@@ -143,6 +143,53 @@
   co_return found ? ExitCode::kSuccess : ExitCode::kFailure;
 }
 
+void PrintRollout(const json& rollout) {
+  fmt::print("{} {} -> {} {} share {:.2f} decided by {} {} ms ago\n",
+             rollout.value("name", ""), rollout.value("pool", ""),
+             rollout.value("target", ""), rollout.value("state", "undecided"),
+             rollout.value("share", 0.0), rollout.value("decider", "nobody"),
+             rollout.value("age_ms", int64_t{0}));
+  for (const char* version : {"old_version", "target_version"}) {
+    const json counts = rollout.value(version, json::object());
+    fmt::print("  {:<16} sent {:>8} answered {:>8} failed {:>8}\n", version,
+               counts.value("sent", int64_t{0}),
+               counts.value("answered", int64_t{0}),
+               counts.value("failed", int64_t{0}));
+  }
+}
+
+Task<ExitCode> RunRollouts(const Options& options) {
+  std::vector<Endpoint> endpoints;
+  if (!ParseEndpoints(options.admin, &endpoints)) {
+    co_return ExitCode::kUsage;
+  }
+  ExitCode exit_code = ExitCode::kSuccess;
+  for (const Endpoint& endpoint : endpoints) {
+    const absl::StatusOr<http::Response> answer =
+        co_await FetchTarget(endpoint, "/rollouts");
+    const json rollouts =
+        answer.ok() ? json::parse(answer->body, nullptr, false) : json(nullptr);
+    if (!rollouts.is_array()) {
+      fmt::print(stderr,
+                 "{}: no list of roll-outs\n  remedy: pass the addresses of "
+                 "the metrics of dandeliond-platform with --admin\n",
+                 FormatEndpoint(endpoint));
+      exit_code = ExitCode::kFailure;
+      continue;
+    }
+    if (options.json) {
+      fmt::print("{}\n", rollouts.dump(2));
+      continue;
+    }
+    fmt::print("at {}: {} roll-outs\n", FormatEndpoint(endpoint),
+               rollouts.size());
+    for (const json& rollout : rollouts) {
+      PrintRollout(rollout);
+    }
+  }
+  co_return exit_code;
+}
+
 http::Request MakeRequest(const Options& options) {
   http::Request request;
   request.target = options.path;
@@ -338,6 +385,9 @@
        RunWatch},
       {"explain", "REQUEST_ID",
        "print the decisions made for a request (--admin)", RunExplain},
+      {"rollouts", "",
+       "print the roll-outs of dandeliond-platform (--admin: its metrics)",
+       RunRollouts},
       {"send", "", "send a request as a caller (--to, --organisation)",
        RunSend},
       {"keys", "", "generate keys for the settings files", RunKeys},
