Learn how fast upstreams are and how much each takes well

Cause: the choice went by one average an upstream without age: own times went before newer ones of others, old ones were passed on as new, times of plain services did not travel, and the cost of a service took its time for each request before it.

Change: routing::LearnedCapacity keeps an average that is forgotten within seconds and finds a limit where more requests get less done; heartbeats carry recent times only, of plain services too (answer_us); Placer uses both.

Seen failing: the choice of a slow service with the earlier cost, from three running requests on.

--- a/bench/control.cc
+++ b/bench/control.cc
@@ -197,7 +197,8 @@
   routing::LoadTracker loads;
   routing::UpstreamHealth health{
       {[](const UpstreamId&, Millis) {}, [](const UpstreamId&) {}}};
-  routing::LoadExchange exchange{loads, health};
+  routing::LoadExchange exchange{loads, health,
+                                 base::Clock([this] { return now; })};
   store::TopicReplica replica;
   size_t messages = 0;
   size_t bytes = 0;
--- a/src/kernel/fleet_daemon.cc
+++ b/src/kernel/fleet_daemon.cc
@@ -95,7 +95,7 @@
         reader_election_(settings_.host),
         follower_(clock_, adapter_.store, FollowerHooks()),
         health_(HealthHooks()),
-        load_exchange_(loads_, health_),
+        load_exchange_(loads_, health_, clock_),
         peer_traffic_(clock_, metrics_),
         rollouts_(settings_.host,
                   clock_,
@@ -118,6 +118,13 @@
                  [this] { return spread_(random_); },
                  [this](const base::PoolName& pool) {
                    return rollouts_.rollouts().RuleFor(pool, clock_.Now());
+                 },
+                 [this](const UpstreamId& id, int64_t limit, int64_t slots) {
+                   metrics_.SetUpstreamLimit(id, static_cast<double>(limit));
+                   Emit(Event::kUpstreamLimitLearned,
+                        {{"upstream", id.value()},
+                         {"limit", absl::StrCat(limit)},
+                         {"slots", absl::StrCat(slots)}});
                  }}),
         migrator_(executor, clock_, adapter_.engines, MigratorHooks()),
         retry_budget_(RetryBounds()),
--- a/src/relay/placer.cc
+++ b/src/relay/placer.cc
@@ -9,6 +9,7 @@
 namespace {
 
 using base::Millis;
+using base::UpstreamId;
 using routing::UpstreamCandidate;
 
 constexpr Millis kColdWindow{1000};
@@ -23,6 +24,10 @@
   return {1, request.size->TotalTokens(), request.size->prompt_tokens, 0};
 }
 
+routing::Work WorkOf(const PlaceRequest& request) {
+  return request.size ? routing::Work::kToken : routing::Work::kAnswer;
+}
+
 admission::Waiter MakeWaiter(const PlaceRequest& request,
                              uint64_t ticket,
                              Millis late_at) {
@@ -104,12 +109,18 @@
     UpstreamCandidate candidate;
     candidate.id = upstream->id;
     candidate.same_data_centre = upstream->entry.data_centre == data_centre_;
-    candidate.slots = upstream->entry.slots;
     candidate.load = loads_.TotalLoad(upstream->id);
     candidate.spread = hooks_.random ? hooks_.random() : 0;
     candidate.failure_rate = health_.FailureRate(upstream->id);
-    candidate.average_ms = request.size ? health_.AverageTokenMs(upstream->id)
-                                        : health_.AverageAnswerMs(upstream->id);
+    const routing::LearnedCapacity& learned =
+        health_.Learned(upstream->id, WorkOf(request));
+    candidate.slots = learned.LimitFor(upstream->entry.slots, now);
+    ReportLimit(*upstream, candidate.slots);
+    candidate.average_ms = health_.RecentMs(upstream->id, WorkOf(request),
+                                            routing::TimeSource::kOwn, now);
+    if (!candidate.average_ms) {
+      candidate.average_ms = learned.AverageMs(now);
+    }
     (health_.IsEjected(upstream->id, now) ? ejected : healthy)
         .push_back(std::move(candidate));
   }
@@ -118,6 +129,22 @@
   return healthy.empty() ? ejected : healthy;
 }
 
+void Placer::ReportLimit(const fleet::Upstream& upstream, int64_t limit) const {
+  const int64_t slots = upstream.entry.slots;
+  const auto known = learned_limits_.find(upstream.id);
+  if (limit == (known == learned_limits_.end() ? slots : known->second)) {
+    return;
+  }
+  if (limit < slots) {
+    learned_limits_[upstream.id] = limit;
+  } else {
+    learned_limits_.erase(known);
+  }
+  if (hooks_.on_limit_learned) {
+    hooks_.on_limit_learned(upstream.id, limit, slots);
+  }
+}
+
 std::optional<migration::Place> Placer::TryPlace(const PlaceRequest& request) {
   const rollout::VersionChoice versions = ChooseVersions(request);
   std::optional<migration::Place> place =
@@ -144,9 +171,9 @@
   }
   const UpstreamCandidate& chosen = candidates[*choice];
   migration::Place place = ReservePlace(chosen.id, ComputeLoad(request));
+  place.load_before = chosen.load;
   if (request.size) {
     place.chosen_at = clock_.Now();
-    place.load_before = chosen.load;
     place.prefill_tokens =
         chosen.load.unread_tokens + request.size->prompt_tokens;
     place.token_ms = chosen.average_ms.value_or(routing::kDefaultTokenMs);
@@ -330,6 +357,19 @@
   waiting_.erase(waiting);
 }
 
+void Placer::RecordAnswerTime(const migration::Place& place, Millis time) {
+  routing::Load load = place.load_before;
+  ++load.running;  // The request itself.
+  health_.RecordTime(place.upstream, routing::Work::kAnswer,
+                     routing::TimeSource::kOwn, load,
+                     static_cast<double>(time.count()), clock_.Now());
+}
+
+void Placer::RecordTokenTime(const UpstreamId& upstream, double milliseconds) {
+  health_.RecordTime(upstream, routing::Work::kToken, routing::TimeSource::kOwn,
+                     loads_.TotalLoad(upstream), milliseconds, clock_.Now());
+}
+
 void Placer::DispatchWaiting() {
   for (auto& [pool, pool_queue] : queues_) {
     DispatchQueue(pool_queue);
--- a/src/relay/placer.h
+++ b/src/relay/placer.h
@@ -70,6 +70,10 @@
     /// is being rolled out. May be empty.
     std::function<std::optional<rollout::VersionRule>(const base::PoolName&)>
         version_rule = {};
+    /// What an upstream was found to take at once has changed; `limit` is that
+    /// of its slots again once nothing speaks for fewer. May be empty.
+    std::function<void(const base::UpstreamId&, int64_t limit, int64_t slots)>
+        on_limit_learned = {};
   };
   /// Most waiting requests of one organisation in a pool's queue.
   static constexpr size_t kMaxWaitingPerOrganisation = 200;
@@ -104,6 +108,10 @@
       const migration::ActiveGeneration& generation,
       const fleet::Pool& pool,
       const std::set<base::UpstreamId>& excluded);
+  /// Learns from the time from sending a request to the head of its answer.
+  void RecordAnswerTime(const migration::Place& place, base::Millis time);
+  /// Learns from the time that an engine took for a token.
+  void RecordTokenTime(const base::UpstreamId& upstream, double milliseconds);
   /// Learns from a generation at `place` whose first token has come.
   void RecordFirstToken(const base::PoolName& pool,
                         const migration::Place& place);
@@ -177,6 +185,8 @@
   /// does, or if there is none.
   std::optional<base::Millis> SendableAt(const PlaceRequest& request) const;
   void RecordColdPlacement(const fleet::Upstream& upstream);
+  /// Tells of a limit that differs from the one before.
+  void ReportLimit(const fleet::Upstream& upstream, int64_t limit) const;
 
   base::Clock clock_;
   base::DataCentreId data_centre_;
@@ -189,6 +199,8 @@
   std::map<base::PoolName, routing::FirstTokenModel> first_tokens_;
   std::map<uint64_t, Waiting> waiting_;
   uint64_t last_ticket_ = 0;
+  /// The learned limits that are below the upstreams' slots.
+  mutable std::map<base::UpstreamId, int64_t> learned_limits_;
   /// The placements at each cold upstream.
   mutable std::map<base::UpstreamId, routing::SendWindow> cold_sends_;
 };
--- a/src/relay/send_once.cc
+++ b/src/relay/send_once.cc
@@ -142,7 +142,7 @@
   RecordSelfReport(services, place, reply, now);
   RecordForRollout(services, *call, place, reply, now - started);
   if (reply.end == SendOutcome::kAnswered && !engine) {
-    services.health.RecordAnswerTime(place.upstream, now - started);
+    services.placer.RecordAnswerTime(place, now - started);
   }
   Emit(Event::kForwardPlaced,
        {{"request", call->admitted.caller.id.value()},
--- a/src/relay/stream_forward.cc
+++ b/src/relay/stream_forward.cc
@@ -369,7 +369,7 @@
       const double token_ms =
           static_cast<double>((now - *last_event_at).count()) /
           static_cast<double>(generation_->tokens_per_event);
-      services_.health.RecordTokenTime(generation_->place.upstream, token_ms);
+      services_.placer.RecordTokenTime(generation_->place.upstream, token_ms);
       RecordPace(token_ms);
     }
     if (!started_) {
--- a/src/routing/load_exchange.cc
+++ b/src/routing/load_exchange.cc
@@ -34,8 +34,16 @@
   return listed;
 }
 
-double DecodeTokenMs(const proto::UpstreamLoad& load) {
-  return static_cast<double>(load.token_us()) / kUsPerMs;
+// Whose times are passed on to the daemons of `scope`.
+TimeSource SourceFor(proto::LoadScope scope) {
+  switch (scope) {
+    case proto::DATA_CENTRE:
+      return TimeSource::kMember;
+    case proto::FLEET:
+      return TimeSource::kPeer;
+    default:
+      return TimeSource::kOwn;
+  }
 }
 
 }  // namespace
@@ -53,16 +61,25 @@
   }
 }
 
-double LoadExchange::TokenMsFor(proto::LoadScope scope,
-                                const UpstreamId& id) const {
-  switch (scope) {
-    case proto::DATA_CENTRE:
-      return health_.DataCentreTokenMs(id).value_or(0);
-    case proto::FLEET:
-      return health_.AverageTokenMs(id).value_or(0);
-    default:
-      return health_.OwnTokenMs(id).value_or(0);
-  }
+int64_t LoadExchange::RecentUs(proto::LoadScope scope,
+                               const UpstreamId& id,
+                               Work work) const {
+  const double ms =
+      health_.RecentMs(id, work, SourceFor(scope), clock_.Now()).value_or(0);
+  return static_cast<int64_t>(ms * kUsPerMs);
+}
+
+void LoadExchange::ApplyTimes(const UpstreamId& id,
+                              const proto::UpstreamLoad& load,
+                              TimeSource source) {
+  const auto apply = [&](Work work, int64_t us) {
+    if (us > 0) {
+      health_.RecordTime(id, work, source, loads_.TotalLoad(id),
+                         static_cast<double>(us) / kUsPerMs, clock_.Now());
+    }
+  };
+  apply(Work::kToken, load.token_us());
+  apply(Work::kAnswer, load.answer_us());
 }
 
 void LoadExchange::AddLoads(proto::LoadScope scope,
@@ -78,7 +95,10 @@
     out.set_tokens(load.tokens);
     out.set_unread_tokens(load.unread_tokens);
     out.set_arriving_tokens(load.arriving_tokens);
-    out.set_token_us(static_cast<int64_t>(TokenMsFor(scope, id) * kUsPerMs));
+    out.set_token_us(RecentUs(scope, id, Work::kToken));
+    if (out.token_us() == 0) {
+      out.set_answer_us(RecentUs(scope, id, Work::kAnswer));
+    }
   }
 }
 
@@ -90,9 +110,7 @@
   for (const proto::UpstreamLoad& load : heartbeat.loads()) {
     const UpstreamId id(load.upstream());
     loads_.SetMemberLoad(from, id, DecodeLoad(load));
-    if (load.token_us() > 0) {
-      health_.RecordMemberTokenTime(id, DecodeTokenMs(load));
-    }
+    ApplyTimes(id, load, TimeSource::kMember);
   }
 }
 
@@ -104,9 +122,7 @@
   for (const proto::UpstreamLoad& load : heartbeat.loads()) {
     const UpstreamId id(load.upstream());
     loads_.SetDataCentreLoad(data_centre, id, DecodeLoad(load));
-    if (load.token_us() > 0) {
-      health_.RecordPeerTokenTime(id, DecodeTokenMs(load));
-    }
+    ApplyTimes(id, load, TimeSource::kPeer);
   }
 }
 
@@ -117,9 +133,7 @@
   for (const proto::UpstreamLoad& load : heartbeat.loads()) {
     const UpstreamId id(load.upstream());
     loads_.SetFleetLoad(id, DecodeLoad(load));
-    if (load.token_us() > 0) {
-      health_.RecordPeerTokenTime(id, DecodeTokenMs(load));
-    }
+    ApplyTimes(id, load, TimeSource::kPeer);
   }
 }
 
--- a/src/routing/load_exchange.h
+++ b/src/routing/load_exchange.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <utility>
+
+#include "base/clock.h"
 #include "base/ids.h"
 #include "proto/peer.pb.h"
 #include "routing/load_tracker.h"
@@ -10,8 +13,8 @@
 /// Tells other daemons the loads that this one tracks, and applies theirs.
 class LoadExchange {
  public:
-  LoadExchange(LoadTracker& loads, UpstreamHealth& health)
-      : loads_(loads), health_(health) {}
+  LoadExchange(LoadTracker& loads, UpstreamHealth& health, base::Clock clock)
+      : loads_(loads), health_(health), clock_(std::move(clock)) {}
 
   /// Starts a round: until the next one, `AddLoads` without `all` adds the
   /// loads that have changed between the last round and this one.
@@ -24,7 +27,7 @@
                 bool all,
                 proto::FleetBeat* heartbeat) const;
 
-  /// Apply loads and times per token. If the heartbeat lists all loads, they
+  /// Apply loads and times. If the heartbeat lists all loads, they
   /// replace every earlier load of its source.
   void ApplyMemberLoads(const base::HostId& from,
                         const proto::FleetBeat& heartbeat);
@@ -36,10 +39,19 @@
   Load LoadFor(proto::LoadScope scope,
                const base::HostId& receiver,
                const base::UpstreamId& id) const;
-  double TokenMsFor(proto::LoadScope scope, const base::UpstreamId& id) const;
+  /// Microseconds for a unit of work that the upstream took lately, as the
+  /// daemons of `scope` saw it; 0 if none of them did.
+  int64_t RecentUs(proto::LoadScope scope,
+                   const base::UpstreamId& id,
+                   Work work) const;
+  /// Learns from the times in a load that was just applied.
+  void ApplyTimes(const base::UpstreamId& id,
+                  const proto::UpstreamLoad& load,
+                  TimeSource source);
 
   LoadTracker& loads_;
   UpstreamHealth& health_;
+  base::Clock clock_;
   /// Of the current round.
   LoadTracker::Changes changes_;
 };
--- a/src/routing/upstream_choice.cc
+++ b/src/routing/upstream_choice.cc
@@ -22,6 +22,9 @@
 constexpr double kRemotePenalty = 1.6;
 // Cost factor of a service in another data centre, for its round trip.
 constexpr double kRemoteServicePenalty = 1.3;
+// The same for a service whose slots are all taken. What it takes at that load
+// is known, but others may have placed requests there that are not known yet.
+constexpr double kServiceFillPenalty = 2;
 // Relative difference of costs within which upstreams count as alike.
 constexpr double kSpread = 0.5;
 // Cost of a failure, as a multiple of an attempt's cost.
@@ -78,7 +81,10 @@
 
 double ComputeServiceCost(const UpstreamCandidate& candidate) {
   const double answer_ms = candidate.average_ms.value_or(kDefaultAnswerMs);
-  double cost = answer_ms * static_cast<double>(candidate.load.running + 1);
+  const double fill =
+      static_cast<double>(candidate.load.running) /
+      static_cast<double>(std::max<int64_t>(1, candidate.slots));
+  double cost = answer_ms * (1 + kServiceFillPenalty * fill);
   cost *= 1 + kFailurePenalty * candidate.failure_rate;
   cost *= 1 + kSpread * candidate.spread;
   return candidate.same_data_centre ? cost : cost * kRemoteServicePenalty;
--- a/src/routing/upstream_health.cc
+++ b/src/routing/upstream_health.cc
@@ -8,12 +8,6 @@
 using base::Millis;
 using base::UpstreamId;
 
-void UpdateAverage(std::optional<double>* average, double value) {
-  *average =
-      *average ? **average + UpstreamHealth::kNewestWeight * (value - **average)
-               : value;
-}
-
 }  // namespace
 
 void UpstreamHealth::RecordAttempt(const UpstreamId& id,
@@ -52,24 +46,24 @@
   hooks_.on_eject(id, duration);
 }
 
-void UpstreamHealth::RecordAnswerTime(const UpstreamId& id, Millis time) {
-  UpdateAverage(&stats_[id].answer_ms, static_cast<double>(time.count()));
-}
-
-void UpstreamHealth::RecordTokenTime(const UpstreamId& id,
-                                     double milliseconds) {
-  UpdateAverage(&stats_[id].token_ms, milliseconds);
-}
-
-void UpstreamHealth::RecordMemberTokenTime(const UpstreamId& id,
-                                           double milliseconds) {
-  UpdateAverage(&stats_[id].member_token_ms, milliseconds);
-  RecordPeerTokenTime(id, milliseconds);
-}
-
-void UpstreamHealth::RecordPeerTokenTime(const UpstreamId& id,
-                                         double milliseconds) {
-  UpdateAverage(&stats_[id].peer_token_ms, milliseconds);
+void UpstreamHealth::RecordTime(const UpstreamId& id,
+                                Work work,
+                                TimeSource source,
+                                const Load& load,
+                                double milliseconds,
+                                Millis now) {
+  Times& times = stats_[id].times[static_cast<size_t>(work)];
+  RecentAverage& recent = times.recent[static_cast<size_t>(source)];
+  const bool is_recent =
+      recent.recorded_at && now - *recent.recorded_at <= kRecentTime;
+  recent.ms = is_recent ? recent.ms + kNewestWeight * (milliseconds - recent.ms)
+                        : milliseconds;
+  recent.recorded_at = now;
+  // Tokens wait for prompts that are processed between them.
+  const bool is_disturbed = work == Work::kToken && load.unread_tokens > 0;
+  times.learned.Record(
+      is_disturbed ? std::nullopt : std::optional<int64_t>(load.running),
+      milliseconds, now);
 }
 
 const UpstreamHealth::Stats* UpstreamHealth::FindStats(
@@ -88,33 +82,29 @@
   return stats ? stats->failure_rate : 0;
 }
 
-std::optional<double> UpstreamHealth::AverageAnswerMs(
-    const UpstreamId& id) const {
-  const Stats* stats = FindStats(id);
-  return stats ? stats->answer_ms : std::nullopt;
-}
-
-std::optional<double> UpstreamHealth::OwnTokenMs(const UpstreamId& id) const {
+const LearnedCapacity& UpstreamHealth::Learned(const UpstreamId& id,
+                                               Work work) const {
+  static const LearnedCapacity nothing;
   const Stats* stats = FindStats(id);
-  return stats ? stats->token_ms : std::nullopt;
+  return stats ? stats->times[static_cast<size_t>(work)].learned : nothing;
 }
 
-std::optional<double> UpstreamHealth::DataCentreTokenMs(
-    const UpstreamId& id) const {
+std::optional<double> UpstreamHealth::RecentMs(const UpstreamId& id,
+                                               Work work,
+                                               TimeSource source,
+                                               Millis now) const {
   const Stats* stats = FindStats(id);
   if (!stats) {
     return std::nullopt;
   }
-  return stats->token_ms ? stats->token_ms : stats->member_token_ms;
-}
-
-std::optional<double> UpstreamHealth::AverageTokenMs(
-    const UpstreamId& id) const {
-  const Stats* stats = FindStats(id);
-  if (!stats) {
-    return std::nullopt;
+  const Times& times = stats->times[static_cast<size_t>(work)];
+  for (size_t i = 0; i <= static_cast<size_t>(source); ++i) {
+    const RecentAverage& recent = times.recent[i];
+    if (recent.recorded_at && now - *recent.recorded_at <= kRecentTime) {
+      return recent.ms;
+    }
   }
-  return stats->token_ms ? stats->token_ms : stats->peer_token_ms;
+  return std::nullopt;
 }
 
 }  // namespace dandelion::routing
--- a/src/routing/upstream_health.h
+++ b/src/routing/upstream_health.h
@@ -1,11 +1,16 @@
 #pragma once
 
+#include <array>
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "routing/learned_capacity.h"
+#include "routing/load_tracker.h"
 
 namespace dandelion::routing {
 
@@ -19,6 +24,25 @@
   kUnresponsive,
 };
 
+/// What an upstream does, by which its speed is measured.
+enum class Work {
+  /// The head of an answer.
+  kAnswer,
+  /// One token of a generation.
+  kToken,
+};
+inline constexpr size_t kWorks = 2;
+
+/// Who saw how long an upstream took, the nearest first.
+enum class TimeSource {
+  kOwn,
+  /// A daemon of this data centre.
+  kMember,
+  /// Other data centres, or a delegate that speaks for all other daemons.
+  kPeer,
+};
+inline constexpr size_t kTimeSources = 3;
+
 /// Tracks failures and speed of each upstream, and ejects those that fail
 /// repeatedly.
 ///
@@ -34,6 +58,8 @@
   static constexpr base::Millis kMaxEjection{6000};
   /// Weight of the newest sample in the moving averages.
   static constexpr double kNewestWeight = 0.2;
+  /// Older times are no longer passed on.
+  static constexpr base::Millis kRecentTime{1500};
 
   struct Hooks {
     std::function<void(const base::UpstreamId&, base::Millis duration)>
@@ -47,15 +73,15 @@
   void RecordAttempt(const base::UpstreamId& id,
                      AttemptOutcome outcome,
                      base::Millis now);
-  /// Records the time from sending a request to the head of its answer.
-  void RecordAnswerTime(const base::UpstreamId& id, base::Millis time);
-  /// Records the time that an engine took for one token.
-  void RecordTokenTime(const base::UpstreamId& id, double milliseconds);
-  /// Records the average time per token of another daemon of this data centre.
-  void RecordMemberTokenTime(const base::UpstreamId& id, double milliseconds);
-  /// Records an average time per token of other data centres, or of all other
-  /// daemons.
-  void RecordPeerTokenTime(const base::UpstreamId& id, double milliseconds);
+  /// Records the time from sending a request to the head of its answer, or the
+  /// time that an engine took for one token, while `load` of all daemons was on
+  /// it.
+  void RecordTime(const base::UpstreamId& id,
+                  Work work,
+                  TimeSource source,
+                  const Load& load,
+                  double milliseconds,
+                  base::Millis now);
   /// Removes all that is known of an upstream, without calling a hook.
   void Forget(const base::UpstreamId& id) { stats_.erase(id); }
 
@@ -64,30 +90,34 @@
   bool IsEjected(const base::UpstreamId& id, base::Millis now) const;
   /// Moving average of failures, 0 to 1; 0 for an unknown upstream.
   double FailureRate(const base::UpstreamId& id) const;
-  /// Average time to the head of an answer; nothing if none was recorded.
-  std::optional<double> AverageAnswerMs(const base::UpstreamId& id) const;
-  /// Own average time per token if there is one, else the peers'; nothing if
-  /// neither was recorded.
-  std::optional<double> AverageTokenMs(const base::UpstreamId& id) const;
-  /// Average time per token of this data centre: the own one if there is one,
-  /// else that of its other daemons; nothing if neither was recorded. What
-  /// other data centres say is left out, so that they are not told it back.
-  std::optional<double> DataCentreTokenMs(const base::UpstreamId& id) const;
-  /// Own average time per token; nothing if none was recorded.
-  std::optional<double> OwnTokenMs(const base::UpstreamId& id) const;
+  /// Returns what was learned of an upstream, from all sources.
+  const LearnedCapacity& Learned(const base::UpstreamId& id, Work work) const;
+  /// Average of the recent times of `source` and of those that are nearer to
+  /// this daemon; nothing if there are none. So nobody is told back what it
+  /// said, and nothing old is passed on.
+  std::optional<double> RecentMs(const base::UpstreamId& id,
+                                 Work work,
+                                 TimeSource source,
+                                 base::Millis now) const;
 
  private:
+  /// An average of times, and when the last was recorded.
+  struct RecentAverage {
+    double ms = 0;
+    std::optional<base::Millis> recorded_at;
+  };
+  struct Times {
+    /// By `TimeSource`.
+    std::array<RecentAverage, kTimeSources> recent;
+    LearnedCapacity learned;
+  };
   struct Stats {
     int consecutive_failures = 0;
     int consecutive_ejections = 0;
     double failure_rate = 0;
     /// Set from an ejection to the next success.
     std::optional<base::Millis> ejected_until;
-    std::optional<double> answer_ms;
-    std::optional<double> token_ms;
-    std::optional<double> member_token_ms;
-    /// With that of members.
-    std::optional<double> peer_token_ms;
+    std::array<Times, kWorks> times;
   };
 
   void Eject(const base::UpstreamId& id, Stats& stats, base::Millis now);
--- a/src/telemetry/events.cc
+++ b/src/telemetry/events.cc
@@ -78,6 +78,8 @@
     EventRow{Event::kRequestMemoryRefused, Level::kWarning,
              "request_memory_refused"},
     EventRow{Event::kCallerDisplaced, Level::kWarning, "caller_displaced"},
+    EventRow{Event::kUpstreamLimitLearned, Level::kInfo,
+             "upstream_limit_learned"},
     EventRow{Event::kUpstreamListed, Level::kInfo, "upstream_listed"},
     EventRow{Event::kUpstreamEjected, Level::kWarning, "upstream_ejected"},
     EventRow{Event::kUpstreamReadmitted, Level::kInfo, "upstream_readmitted"},
--- a/src/telemetry/events.h
+++ b/src/telemetry/events.h
@@ -69,6 +69,7 @@
   kUpstreamLimited = 416,
   kUpstreamPaused = 417,
   kSelfReportRefused = 418,
+  kUpstreamLimitLearned = 419,
   kDataCentreEvacuated = 414,
   kDataCentreRestored = 415,
   kForwardDone = 510,
--- a/src/telemetry/metrics.cc
+++ b/src/telemetry/metrics.cc
@@ -130,6 +130,11 @@
                  "Share of a pool's requests that goes to the version that "
                  "is rolled out")
              .Register(registry_);
+    upstream_limits_ =
+        &prometheus::BuildGauge()
+             .Name("dandelion_upstream_limit")
+             .Help("Requests that an upstream was found to take at once")
+             .Register(registry_);
     rollout_requests_ =
         &prometheus::BuildGauge()
              .Name("dandelion_rollout_requests")
@@ -184,6 +189,7 @@
   prometheus::Family<prometheus::Counter>* peer_traffic_bytes_;
   prometheus::Family<prometheus::Gauge>* rollout_shares_;
   prometheus::Family<prometheus::Gauge>* rollout_requests_;
+  prometheus::Family<prometheus::Gauge>* upstream_limits_;
   prometheus::Gauge* config_version_;
   prometheus::Gauge* leased_slots_;
   prometheus::Gauge* in_flight_;
@@ -252,6 +258,9 @@
 void Metrics::SetRolloutShare(const base::PoolName& pool, double share) {
   impl_->rollout_shares_->Add({{"pool", pool.value()}}).Set(share);
 }
+void Metrics::SetUpstreamLimit(const base::UpstreamId& upstream, double limit) {
+  impl_->upstream_limits_->Add({{"upstream", upstream.value()}}).Set(limit);
+}
 void Metrics::SetRolloutRequests(const base::PoolName& pool,
                                  std::string_view version,
                                  std::string_view outcome,
--- a/src/telemetry/metrics.h
+++ b/src/telemetry/metrics.h
@@ -72,6 +72,8 @@
   void SetLoopLag(double seconds);
   /// Share of a pool's requests that goes to the version that is rolled out.
   void SetRolloutShare(const base::PoolName& pool, double share);
+  /// Requests that an upstream was found to take at once.
+  void SetUpstreamLimit(const base::UpstreamId& upstream, double limit);
   /// Requests of a pool that is rolled out, by version and what became of them.
   void SetRolloutRequests(const base::PoolName& pool,
                           std::string_view version,
--- a/test/rollout-process-test.cc
+++ b/test/rollout-process-test.cc
@@ -211,6 +211,12 @@
   *fixture.target_status = kFailed;
   REQUIRE(fixture.RunUntil([&] { return fixture.HasState("reverted"); },
                            kTakeoverTime));
+  // The decision reaches the others with the next heartbeat.
+  for (size_t i = 0; i < kDaemons; ++i) {
+    REQUIRE((RolloutFixture::DaemonName(i) == decider || fixture.RunUntil([&] {
+      return fixture.View(i).value("state", "") == "reverted";
+    })));
+  }
   const size_t exposed = RolloutFixture::Seen(fixture.targets);
   CHECK(fixture.RunForAnswers(kSomeAnswers));
   CHECK(RolloutFixture::Seen(fixture.targets) == exposed);
