Keep the quarantined parts in the store over a restart of all daemons

Cause: the evidence against parts of prompts that crash engines lay in the daemons' memory only.

Change: QuarantineRecords: the daemon that reads the store for the fleet restores the quarantines once and then records each change, on condition that the topic keyed.quarantine still ends where it was read. Ages go by the time of day, never below zero. Others hear of what is restored by heartbeats. A call to the store a reader, and one or two a change. Events 533 and 534.

Seen failing with the restoring off: each of the requests after the restart reached an engine (502 in place of 503).

--- a/src/kernel/fleet_daemon.cc
+++ b/src/kernel/fleet_daemon.cc
@@ -15,6 +15,7 @@
 #include "kernel/loop_monitor.h"
 #include "kernel/peer_traffic.h"
 #include "kernel/quarantine_hooks.h"
+#include "kernel/quarantine_records.h"
 #include "kernel/registry.h"
 #include "kernel/rollout_service.h"
 #include "kernel/serving_telemetry.h"
@@ -107,6 +108,10 @@
                   RolloutHooks()),
         mesh_(SelfInfo(), clock_, AnswerBytesPerSecond(), MeshHooks()),
         quarantine_(settings_.host, MakeQuarantineHooks(metrics_)),
+        quarantine_records_(clock_,
+                            quarantine_,
+                            adapter_.quarantines,
+                            [this] { return reader_election_.is_reader(); }),
         self_reports_(SelfReportHooks()),
         placer_(clock_,
                 settings_.data_centre,
@@ -253,6 +258,7 @@
     start([this] { return PollEngineReports(); });
     start([this] { return loop_monitor_.Run(); });
     start([this] { return rollouts_.KeepRecords(); });
+    start([this] { return quarantine_records_.Keep(); });
     return absl::OkStatus();
   }
 
@@ -782,6 +788,7 @@
   RolloutService rollouts_;
   membership::Mesh mesh_;
   admission::PartQuarantine quarantine_;
+  QuarantineRecords quarantine_records_;
   routing::SelfReports self_reports_;
   std::minstd_rand random_{std::random_device()()};
   std::uniform_real_distribution<double> spread_;
--- a/src/kernel/fleet_daemon.h
+++ b/src/kernel/fleet_daemon.h
@@ -23,6 +23,7 @@
   store::MetadataStore& store;
   store::PeerList& peers;
   store::StatusStore& statuses;
+  store::QuarantineStore& quarantines;
   /// Decodes a record of the operators' topic.
   std::function<absl::StatusOr<fleet::OperatorRecord>(const store::Record&)>
       parse_operator_record;
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -38,6 +38,24 @@
                                                int64_t end) = 0;
 };
 
+/// The record of quarantined parts. Calls fail like those of `MetadataStore`.
+class QuarantineStore {
+ public:
+  struct Snapshot {
+    /// Empty if none was ever written.
+    std::string record;
+    /// The end of the topic.
+    int64_t end = 0;
+  };
+
+  virtual ~QuarantineStore() = default;
+  virtual base::Task<absl::StatusOr<Snapshot>> ReadQuarantines() = 0;
+  /// Replaces the record if the topic still ends at `end`. Fails with
+  /// `kConflict` if it does not.
+  virtual base::Task<absl::Status> WriteQuarantines(std::string record,
+                                                    int64_t end) = 0;
+};
+
 /// A daemon's entry in the store's list of daemons.
 struct PeerEntry {
   std::string name;
--- a/src/telemetry/events.cc
+++ b/src/telemetry/events.cc
@@ -106,6 +106,8 @@
     EventRow{Event::kPartSuspected, Level::kInfo, "part_suspected"},
     EventRow{Event::kPartQuarantined, Level::kWarning, "part_quarantined"},
     EventRow{Event::kPartCleared, Level::kInfo, "part_cleared"},
+    EventRow{Event::kQuarantinesRestored, Level::kInfo, "quarantines_restored"},
+    EventRow{Event::kQuarantinesRecorded, Level::kInfo, "quarantines_recorded"},
 };
 
 std::atomic<Level> min_level{Level::kInfo};
--- a/src/telemetry/events.h
+++ b/src/telemetry/events.h
@@ -88,6 +88,8 @@
   kPartSuspected = 530,
   kPartQuarantined = 531,
   kPartCleared = 532,
+  kQuarantinesRestored = 533,
+  kQuarantinesRecorded = 534,
 };
 
 /// The severity of an event, lowest first.
