--- a/test/caller-crowd.cc
+++ b/test/caller-crowd.cc
@@ -1,7 +1,10 @@
 #include "test/caller-crowd.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <boost/asio/write.hpp>
+#include <cstring>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
@@ -40,8 +43,16 @@
   return request + "X-Name: " + std::string(plan.trailer_bytes, 'x');
 }
 
-// Bytes that have arrived on connections to `port` and have not been read.
-uint64_t CountUnreadBytes(unsigned short port) {
+// The form of `endpoint` in the system's table of connections.
+std::string FormatTableAddress(const tcp::endpoint& endpoint) {
+  const auto bytes = endpoint.address().to_v4().to_bytes();
+  uint32_t address = 0;
+  std::memcpy(&address, bytes.data(), sizeof(address));
+  return fmt::format("{:08X}:{:04X}", address, endpoint.port());
+}
+
+// Bytes that have arrived on connections to `endpoint` and have not been read.
+uint64_t CountUnreadBytes(const tcp::endpoint& endpoint) {
   constexpr int kHexadecimal = 16;
   std::ifstream table("/proc/net/tcp");
   std::string line;
@@ -55,8 +66,7 @@
     std::string state;
     std::string queues;
     row >> number >> local >> remote >> state >> queues;
-    const size_t port_at = local.find(':') + 1;
-    if (std::stoul(local.substr(port_at), nullptr, kHexadecimal) == port) {
+    if (local == FormatTableAddress(endpoint)) {
       const size_t received_at = queues.find(':') + 1;
       unread += std::stoul(queues.substr(received_at), nullptr, kHexadecimal);
     }
@@ -102,7 +112,7 @@
     Measure();
     return std::all_of(members_.begin(), members_.end(),
                        [](const auto& member) { return member->ended; }) &&
-           CountUnreadBytes(daemon_.port()) == 0;
+           CountUnreadBytes(daemon_) == 0;
   });
 }
 
