Decide roll-outs only once the fleet is known, and on what the store has

Cause: ordered just after the start, each daemon took itself for the reader and decided alone; one that became the decider later went by what it had read before, so that it could go on with what another had reverted.

Change: the decider must know the fleet (Mesh::KnowsFleet); a daemon that is not the decider reads the store again when it becomes it.

The second change has no test of its own.

--- a/src/kernel/fleet_daemon.cc
+++ b/src/kernel/fleet_daemon.cc
@@ -654,7 +654,9 @@
   rollout::Rollouts::Hooks RolloutHooks() {
     rollout::Rollouts::Hooks hooks;
     hooks.is_decider = [this] {
-      return reader_election_.is_reader() && mesh_.IsDelegate();
+      // Daemons that do not know each other yet would all decide.
+      return reader_election_.is_reader() && mesh_.IsDelegate() &&
+             mesh_.KnowsFleet();
     };
     hooks.running_on = [this](const UpstreamId& id) {
       return loads_.TotalLoad(id).running;
--- a/src/rollout/rollouts.cc
+++ b/src/rollout/rollouts.cc
@@ -50,8 +50,11 @@
 }
 
 void Rollouts::Tick(Millis now) {
+  const bool is_decider = hooks_.is_decider();
   for (auto& [name, rollout] : rollouts_) {
-    if (hooks_.is_decider() && !YieldsTo(rollout, now)) {
+    // Another daemon may have decided since this one last read the store.
+    rollout.store_read = rollout.store_read && is_decider;
+    if (is_decider && !YieldsTo(rollout, now)) {
       Decide(name, rollout, now);
     }
     if (rollout.plan.ShouldEvacuate(now)) {
