Give the daemons of each test process a loopback address of their own

Cause: a free port was looked for at 127.0.0.1 and released before the daemon bound it; another test, or an outgoing connection, could take it in between. The daemon then ended at its start (exit 2, "Address already in use", seen in the logs of 2 of 12 runs side by side).

--- a/test/daemon-support.h
+++ b/test/daemon-support.h
@@ -3,6 +3,7 @@
 #include <signal.h>
 #include <spawn.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/write.hpp>
@@ -111,12 +112,21 @@
             {"born", 1}};
   }
 
+  /// A loopback address of this process alone: neither daemons of other test
+  /// processes nor outgoing connections take ports there.
+  static std::string DaemonAddress() {
+    constexpr int kValues = 250;
+    const int pid = getpid();
+    return "127." + std::to_string(1 + pid / (kValues * kValues) % kValues) +
+           "." + std::to_string(1 + pid / kValues % kValues) + "." +
+           std::to_string(1 + pid % kValues);
+  }
   /// Returns "IP:PORT" with a port that no other socket uses now.
   std::string FindFreeAddress() {
+    const std::string ip = DaemonAddress();
     tcp::acceptor acceptor(
-        context, tcp::endpoint(boost::asio::ip::make_address_v4(kLoopback), 0));
-    return std::string(kLoopback) + ":" +
-           std::to_string(acceptor.local_endpoint().port());
+        context, tcp::endpoint(boost::asio::ip::make_address_v4(ip), 0));
+    return ip + ":" + std::to_string(acceptor.local_endpoint().port());
   }
 
   json MakeSettings() {
