Send messages with everything also while there is always something new

Cause: news put a link's next heartbeat off, and the time of its next message with everything was looked at only when that heartbeat was due. Under load it never was: 991 heartbeats in 30 s, none with everything.

Change: the time of the message with everything counts by itself.

Seen failing: the new mesh test with it off.

--- a/src/membership/mesh.cc
+++ b/src/membership/mesh.cc
@@ -648,7 +648,8 @@
 void Mesh::SendDueHeartbeats() {
   const Millis now = clock_.Now();
   for (auto& [id, link] : links_) {
-    if (now < link.next_heartbeat_at) {
+    // News put the next heartbeat off, but not the next one with everything.
+    if (now < std::min(link.next_heartbeat_at, link.next_full_at)) {
       continue;
     }
     proto::Envelope message = MakeHeartbeat(link);
@@ -656,7 +657,8 @@
     heartbeat->set_follows(followed_ == id);
     const bool connecting = now - link.opened_at < kConnectTime;
     if (now >= link.next_full_at) {
-      link.next_full_at = connecting ? now : now + kFullInterval;
+      link.next_full_at =
+          now + (connecting ? kConnectRetryInterval : kFullInterval);
       AddEverything(id, link, heartbeat);
     }
     Send(id, link, message);
--- a/test/mesh-test.cc
+++ b/test/mesh-test.cc
@@ -190,6 +190,38 @@
   }
 }
 
+// Under load there is always something new, and what is new is sent at once.
+// What a message lost is only healed by messages with everything.
+TEST_CASE("news leave no room for messages with everything", "[mesh]") {
+  MeshFixture fleet;
+  MeshFixture::Daemon& first = fleet.AddDaemon(MakeDaemon(0, 0, kSmallHost));
+  MeshFixture::Daemon& second = fleet.AddDaemon(MakeDaemon(0, 1, kSmallHost));
+  first.mesh->AddDaemon(second.info);
+  second.mesh->AddDaemon(first.info);
+  const auto run_under_load = [&](Millis time) {
+    constexpr Millis kBetweenRequests(20);
+    for (Millis passed(0); passed < time; passed = passed + kBetweenRequests) {
+      first.loads.Add(UpstreamId("u-1"), {1, 0, 0, 0});
+      second.loads.Add(UpstreamId("u-1"), {1, 0, 0, 0});
+      fleet.Advance(kBetweenRequests);
+    }
+  };
+  run_under_load(Millis(3000));
+  REQUIRE(first.mesh->HasContact());
+  const admission::PartList parts = {base::PartId("bad")};
+  fleet.disconnected = true;
+  // Shorter than what would make either take the other for down.
+  for (int i = 0; i < 2; ++i) {
+    first.quarantine->RecordBreak(UpstreamId(absl::StrCat("e-", i)), parts,
+                                  fleet.Now(first));
+    run_under_load(Millis(550));
+  }
+  REQUIRE(first.quarantine->FindQuarantined(parts, fleet.Now(first)));
+  fleet.disconnected = false;
+  run_under_load(membership::Mesh::kFullInterval + Millis(300));
+  CHECK(second.quarantine->FindQuarantined(parts, fleet.Now(second)));
+}
+
 // All daemons lose power, the seeds for good, and the store names the others
 // only after a while.
 TEST_CASE("daemons that start without seeds each take a whole limit",
