Find no limit from times of a few milliseconds, nor for requests without a target

Change: a level whose time is under 5 ms finds no limit, and requests on routes without a target keep to the slots.

--- a/src/relay/placer.cc
+++ b/src/relay/placer.cc
@@ -114,7 +114,10 @@
     candidate.failure_rate = health_.FailureRate(upstream->id);
     const routing::LearnedCapacity& learned =
         health_.Learned(upstream->id, WorkOf(request));
-    candidate.slots = learned.LimitFor(upstream->entry.slots, now);
+    // Without a target nobody is late where much runs.
+    candidate.slots = request.answer_target > Millis(0)
+                          ? learned.LimitFor(upstream->entry.slots, now)
+                          : upstream->entry.slots;
     ReportLimit(*upstream, candidate.slots);
     candidate.average_ms = health_.RecentMs(upstream->id, WorkOf(request),
                                             routing::TimeSource::kOwn, now);
--- a/src/routing/learned_capacity.cc
+++ b/src/routing/learned_capacity.cc
@@ -17,6 +17,9 @@
 constexpr double kMinWeight = 0.25;
 // Least weight of a level that counts for the limit.
 constexpr double kMinWeightToLimit = 4;
+// Shorter times are too coarse in whole milliseconds to find a limit, and not
+// worth one.
+constexpr double kMinMsToLimit = 5;
 // Share of the newest time in an average that has much weight.
 constexpr double kNewestShare = 0.2;
 // More requests are too many if less than this part of the throughput is left.
@@ -89,7 +92,8 @@
       best = throughput;
       best_index = i;
       limit = slots;
-    } else if (limit == slots && throughput < best * kLostThroughput) {
+    } else if (limit == slots && level.ms >= kMinMsToLimit &&
+               throughput < best * kLostThroughput) {
       const int64_t rise =
           (now - level.recorded_at).count() / kRiseInterval.count();
       limit = std::min(slots, kLevelEnds[best_index] + rise);
--- a/test/learned-capacity-test.cc
+++ b/test/learned-capacity-test.cc
@@ -95,6 +95,18 @@
   CHECK(fixture.Limit() == kSlots);
 }
 
+// Times are whole milliseconds, so that those of a fast service differ by a
+// factor for no reason.
+TEST_CASE("a service that answers within milliseconds is limited",
+          "[capacity]") {
+  CapacityFixture fixture;
+  fixture.ms_at = [](int64_t running) { return running <= 2 ? 1.0 : 4.0; };
+  for (const int64_t running : {1, 2, 4, 6, 9}) {
+    fixture.Run(running, Millis(1500));
+  }
+  CHECK(fixture.Limit() == kSlots);
+}
+
 TEST_CASE("a short disturbance sets a limit", "[capacity]") {
   CapacityFixture fixture;
   fixture.Run(4, Millis(1500));
