Keep a test's caller alive until its last read has ended

Cause: a caller that is replaced while its read is in progress was used by the end of that read. One of 6 runs of forward-test side by side ended with a segmentation fault at the test of cut streams (7 cores, 6 at once).

Change: the socket and the bytes belong to the read as well. No check changed.

--- a/test/daemon-support.h
+++ b/test/daemon-support.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/write.hpp>
+#include <array>
 #include <chrono>
 #include <cstdio>
 #include <fstream>
@@ -170,7 +171,12 @@
 
 /// A caller that sends one request and collects the response.
 struct Caller {
-  explicit Caller(boost::asio::io_context& context) : socket(context) {}
+  explicit Caller(boost::asio::io_context& context)
+      : connection(std::make_shared<Connection>(context)) {}
+  // A read may be in progress, and ends later.
+  ~Caller() { Close(); }
+  Caller(const Caller&) = delete;
+  Caller& operator=(const Caller&) = delete;
 
   /// Returns false if the daemon does not accept the connection. `headers` are
   /// lines that each end with CRLF.
@@ -179,9 +185,9 @@
                    const std::string& route = "draft",
                    const std::string& headers = "") {
     boost::system::error_code error;
-    socket.connect(daemon, error);
+    connection->socket.connect(daemon, error);
     if (error) {
-      socket.close();
+      Close();
       return false;
     }
     const std::string request = "GET /" + route +
@@ -189,36 +195,46 @@
                                 "X-Dandeliondyke-Request-Id: r-" +
                                 std::to_string(number) + "\r\n" + headers +
                                 "\r\n";
-    boost::asio::write(socket, boost::asio::buffer(request));
-    ReadMore();
+    boost::asio::write(connection->socket, boost::asio::buffer(request));
+    Connection::ReadMore(connection);
     return true;
   }
-
-  void ReadMore() {
-    socket.async_read_some(boost::asio::buffer(chunk),
-                           [this](auto error, size_t size) {
-                             received.append(chunk.data(), size);
-                             if (!error) {
-                               ReadMore();
-                             }
-                           });
+  void Close() {
+    boost::system::error_code ignored;
+    connection->socket.close(ignored);
   }
 
+  const std::string& received() const { return connection->received; }
   bool HasReceivedEvent() const {
-    return received.find("data: x") != std::string::npos;
+    return received().find("data: x") != std::string::npos;
   }
   /// 0 unless a response has begun.
   int Status() const {
     constexpr size_t kStatusAt = std::string_view("HTTP/1.1 ").size();
     constexpr size_t kStatusDigits = 3;
-    return received.size() < kStatusAt + kStatusDigits
+    return received().size() < kStatusAt + kStatusDigits
                ? 0
-               : std::stoi(received.substr(kStatusAt, kStatusDigits));
+               : std::stoi(received().substr(kStatusAt, kStatusDigits));
   }
 
-  boost::asio::ip::tcp::socket socket;
-  std::array<char, 4096> chunk{};
-  std::string received;
+  struct Connection {
+    explicit Connection(boost::asio::io_context& context) : socket(context) {}
+
+    static void ReadMore(const std::shared_ptr<Connection>& self) {
+      self->socket.async_read_some(
+          boost::asio::buffer(self->chunk), [self](auto error, size_t size) {
+            self->received.append(self->chunk.data(), size);
+            if (!error) {
+              ReadMore(self);
+            }
+          });
+    }
+
+    boost::asio::ip::tcp::socket socket;
+    std::array<char, 4096> chunk{};
+    std::string received;
+  };
+  std::shared_ptr<Connection> connection;
 };
 
 /// A daemon with the fixture's store, from its start to its end.
--- a/test/platform-stop-test.cc
+++ b/test/platform-stop-test.cc
@@ -109,7 +109,7 @@
   std::vector<std::unique_ptr<Caller>> callers;
   const auto all_streams_started = [&] {
     std::erase_if(callers, [](const auto& caller) {
-      return caller->received.find("HTTP/1.1 503") != std::string::npos;
+      return caller->received().find("HTTP/1.1 503") != std::string::npos;
     });
     while (callers.size() < kStreams) {
       callers.push_back(std::make_unique<Caller>(fixture.context));
