Record that a roll-out runs before recording how it ended

Cause: a version that fails at once is reverted 150 ms after its first share, before the record of `running` is written (every 200 ms), and then only `reverted` was written: an operator never saw the order taken up. The log of a failed run: decided running at 014 ms, reverted at 164 ms, recorded reverted at 202 ms. forward-test "a failing version that operators roll out" failed in 1 of 6 runs of all tests and in 4 of 14 runs of the two cases, side by side, at CHECK(HasState("running")). Ruled out: the store and its lost answers (in the test's process, written=1).

Change: the first record of an order is `running`, the final one follows at once. The check stays.

--- a/src/kernel/rollout_service.cc
+++ b/src/kernel/rollout_service.cc
@@ -18,6 +18,7 @@
 using nlohmann::json;
 using rollout::RecordedState;
 using rollout::Rollouts;
+using rollout::State;
 using telemetry::Emit;
 using telemetry::Event;
 
@@ -202,16 +203,22 @@
   if (!pending.to_record || (is_of_order && IsFinal(recorded->state))) {
     co_return;
   }
+  // Operators see that a roll-out ran before they see how it ended.
+  const State next_state = is_of_order ? *pending.to_record : State::kRunning;
   const RecordedState next = {pending.order.target, pending.order.offset,
-                              *pending.to_record};
+                              next_state};
   const absl::Status written =
       co_await store_.WriteStatus(key, format_.encode(next), statuses->to);
   Emit(Event::kRolloutRecorded, {{"rollout", pending.name.value()},
                                  {"state", std::string(ToString(next.state))},
                                  {"written", written.ok() ? "1" : "0"},
                                  {"reason", std::string(written.message())}});
-  if (written.ok()) {
-    rollouts_.OnRecorded(pending.name, next, clock_.Now());
+  if (!written.ok()) {
+    co_return;
+  }
+  rollouts_.OnRecorded(pending.name, next, clock_.Now());
+  if (next_state != *pending.to_record) {
+    co_await Record(std::move(pending));
   }
 }
 
