--- a/test/daemon-support.h
+++ b/test/daemon-support.h
@@ -5,9 +5,9 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/write.hpp>
-#include <array>
 #include <chrono>
 #include <cstdio>
 #include <fstream>
