Let only the daemon that acts for the fleet read the stored quarantines

Cause: at its start each daemon counts as the reader until it knows others, and so each read the store's record of quarantines.

Change: one condition for roll-outs and for stored quarantines: the reader that is a delegate and knows the fleet.

--- a/src/kernel/fleet_daemon.cc
+++ b/src/kernel/fleet_daemon.cc
@@ -111,7 +111,7 @@
         quarantine_records_(clock_,
                             quarantine_,
                             adapter_.quarantines,
-                            [this] { return reader_election_.is_reader(); }),
+                            [this] { return ActsForFleet(); }),
         self_reports_(SelfReportHooks()),
         placer_(clock_,
                 settings_.data_centre,
@@ -651,13 +651,16 @@
     return hooks;
   }
 
+  // Whether this daemon decides for the fleet and keeps what the fleet knows.
+  // Daemons that do not know each other yet would all do so.
+  bool ActsForFleet() const {
+    return reader_election_.is_reader() && mesh_.IsDelegate() &&
+           mesh_.KnowsFleet();
+  }
+
   rollout::Rollouts::Hooks RolloutHooks() {
     rollout::Rollouts::Hooks hooks;
-    hooks.is_decider = [this] {
-      // Daemons that do not know each other yet would all decide.
-      return reader_election_.is_reader() && mesh_.IsDelegate() &&
-             mesh_.KnowsFleet();
-    };
+    hooks.is_decider = [this] { return ActsForFleet(); };
     hooks.running_on = [this](const UpstreamId& id) {
       return loads_.TotalLoad(id).running;
     };
