Weigh how much a service's times vary, and smooth averages by time

Cause: with learned speeds, daemons that share their times turned together to a service that slows down when half full, as soon as it was fast again. Calls of 30 ms are over before the news of loads, so no limit was found.

Change: four times the mean deviation of its times counts on top of a service's average; an average follows time and not the number of requests; of an upstream of which nothing is known the others' mean speed is assumed; levels of 3 and 4 requests are kept apart.

--- a/src/migration/target_choice.cc
+++ b/src/migration/target_choice.cc
@@ -49,7 +49,7 @@
       static_cast<double>(target.candidate.load.arriving_tokens) * ms_per_token;
   const double decode_ms =
       static_cast<double>(size.tokens_left) *
-      target.candidate.average_ms.value_or(routing::kDefaultTokenMs);
+      target.candidate.speed.average_ms.value_or(routing::kDefaultTokenMs);
   const double fill = static_cast<double>(target.candidate.load.tokens) /
                       static_cast<double>(std::max<int64_t>(1, memory_tokens));
   return copy_ms * waiting + queue_ms + decode_ms * kDecodeWeight +
--- a/src/relay/placer.cc
+++ b/src/relay/placer.cc
@@ -119,17 +119,16 @@
                           ? learned.LimitFor(upstream->entry.slots, now)
                           : upstream->entry.slots;
     ReportLimit(*upstream, candidate.slots);
-    candidate.average_ms = health_.RecentMs(upstream->id, WorkOf(request),
-                                            routing::TimeSource::kOwn, now);
-    if (!candidate.average_ms) {
-      candidate.average_ms = learned.AverageMs(now);
-    }
+    candidate.speed = health_.SpeedOf(upstream->id, WorkOf(request), now);
     (health_.IsEjected(upstream->id, now) ? ejected : healthy)
         .push_back(std::move(candidate));
   }
   // If all upstreams are ejected, trying one is better than failing the
   // request.
-  return healthy.empty() ? ejected : healthy;
+  std::vector<UpstreamCandidate>& candidates =
+      healthy.empty() ? ejected : healthy;
+  routing::AssumeTypicalSpeed(candidates);
+  return candidates;
 }
 
 void Placer::ReportLimit(const fleet::Upstream& upstream, int64_t limit) const {
@@ -179,7 +178,7 @@
     place.chosen_at = clock_.Now();
     place.prefill_tokens =
         chosen.load.unread_tokens + request.size->prompt_tokens;
-    place.token_ms = chosen.average_ms.value_or(routing::kDefaultTokenMs);
+    place.token_ms = chosen.speed.average_ms.value_or(routing::kDefaultTokenMs);
   }
   return place;
 }
--- a/src/routing/learned_capacity.cc
+++ b/src/routing/learned_capacity.cc
@@ -20,8 +20,9 @@
 // Shorter times are too coarse in whole milliseconds to find a limit, and not
 // worth one.
 constexpr double kMinMsToLimit = 5;
-// Share of the newest time in an average that has much weight.
-constexpr double kNewestShare = 0.2;
+// Most weight that holds an average back from a new time. An average follows
+// time, not the number of requests, so that it is not moved by a few of many.
+constexpr double kInertia = 1.5;
 // More requests are too many if less than this part of the throughput is left.
 constexpr double kLostThroughput = 0.6;
 
@@ -50,11 +51,16 @@
 
 void LearnedCapacity::RecordAt(Level& level, double ms, Millis now) {
   const double weight = WeightAt(level, now);
-  level.ms += std::max(kNewestShare, 1 / (weight + 1)) * (ms - level.ms);
   const double covered =
       static_cast<double>((now - level.recorded_at).count()) /
       static_cast<double>(kSampleTime.count());
   const double gained = level.weight == 0 ? 1 : std::min(1.0, covered);
+  const double share = gained / (std::min(weight, kInertia) + gained);
+  if (weight > 0) {
+    level.deviation_ms +=
+        share * (std::abs(ms - level.ms) - level.deviation_ms);
+  }
+  level.ms += share * (ms - level.ms);
   level.weight = std::min(kMaxWeight, weight + gained);
   level.recorded_at = now;
 }
@@ -78,6 +84,10 @@
   return average_.ms;
 }
 
+double LearnedCapacity::DeviationMs(Millis now) const {
+  return WeightAt(average_, now) < kMinWeight ? 0 : average_.deviation_ms;
+}
+
 int64_t LearnedCapacity::LimitFor(int64_t slots, Millis now) const {
   int64_t limit = slots;
   double best = 0;
--- a/src/routing/learned_capacity.h
+++ b/src/routing/learned_capacity.h
@@ -9,6 +9,14 @@
 
 namespace dandelion::routing {
 
+/// What an upstream takes for a unit of work, a token or an answer.
+struct Speed {
+  /// Nothing if too little is known.
+  std::optional<double> average_ms;
+  /// By how much its times differ from their average, on average.
+  double deviation_ms = 0;
+};
+
 /// Learns how long an upstream takes for a unit of work, a token or an answer,
 /// and how many requests it takes well.
 ///
@@ -32,18 +40,23 @@
   void Record(std::optional<int64_t> running, double ms, base::Millis now);
   /// Returns the recent time for a unit; nothing if too little is known.
   std::optional<double> AverageMs(base::Millis now) const;
+  /// Returns by how much the times differ from their average, on average; 0 if
+  /// too little is known.
+  double DeviationMs(base::Millis now) const;
   /// Returns how many requests the upstream takes at once: `slots`, or fewer if
   /// it gets less done with more of them.
   int64_t LimitFor(int64_t slots, base::Millis now) const;
 
  private:
   /// Highest number of running requests of each level but the last.
-  static constexpr std::array<int64_t, 7> kLevelEnds = {1, 2, 4, 6, 9, 13, 18};
+  static constexpr std::array<int64_t, 8> kLevelEnds = {1, 2, 3,  4,
+                                                        6, 9, 13, 18};
   static constexpr size_t kLevels = kLevelEnds.size() + 1;
 
   /// An average of times.
   struct Level {
     double ms = 0;
+    double deviation_ms = 0;
     /// How long the recorded times cover, in units of `kSampleTime`.
     double weight = 0;
     base::Millis recorded_at;
--- a/src/routing/upstream_choice.cc
+++ b/src/routing/upstream_choice.cc
@@ -20,18 +20,22 @@
 // Cost factor of an engine in another data centre: its stream uses bandwidth
 // and breaks with the link.
 constexpr double kRemotePenalty = 1.6;
+// How many deviations of its times count on top of a service's average: one
+// that slows down whenever much is sent there varies most, and calls shorter
+// than the news of loads don't show how much that was.
+constexpr double kDeviations = 4;
 // Cost factor of a service in another data centre, for its round trip.
 constexpr double kRemoteServicePenalty = 1.3;
 // The same for a service whose slots are all taken. What it takes at that load
 // is known, but others may have placed requests there that are not known yet.
-constexpr double kServiceFillPenalty = 2;
+constexpr double kServiceFillPenalty = 3;
 // Relative difference of costs within which upstreams count as alike.
 constexpr double kSpread = 0.5;
 // Cost of a failure, as a multiple of an attempt's cost.
 constexpr double kFailurePenalty = 6;
 
 double TokenMs(const UpstreamCandidate& candidate) {
-  return candidate.average_ms.value_or(kDefaultTokenMs);
+  return candidate.speed.average_ms.value_or(kDefaultTokenMs);
 }
 
 // Whether the first token is predicted to come within `bound`.
@@ -80,7 +84,9 @@
 }
 
 double ComputeServiceCost(const UpstreamCandidate& candidate) {
-  const double answer_ms = candidate.average_ms.value_or(kDefaultAnswerMs);
+  const double answer_ms =
+      candidate.speed.average_ms.value_or(kDefaultAnswerMs) +
+      kDeviations * candidate.speed.deviation_ms;
   const double fill =
       static_cast<double>(candidate.load.running) /
       static_cast<double>(std::max<int64_t>(1, candidate.slots));
@@ -92,6 +98,27 @@
 
 }  // namespace
 
+void AssumeTypicalSpeed(std::vector<UpstreamCandidate>& candidates) {
+  double average_sum = 0;
+  double deviation_sum = 0;
+  int known = 0;
+  for (const UpstreamCandidate& candidate : candidates) {
+    if (candidate.speed.average_ms) {
+      average_sum += *candidate.speed.average_ms;
+      deviation_sum += candidate.speed.deviation_ms;
+      ++known;
+    }
+  }
+  if (known == 0) {
+    return;
+  }
+  for (UpstreamCandidate& candidate : candidates) {
+    if (!candidate.speed.average_ms) {
+      candidate.speed = {average_sum / known, deviation_sum / known};
+    }
+  }
+}
+
 std::optional<size_t> ChooseEngine(
     const std::vector<UpstreamCandidate>& candidates,
     const GenerationSize& size,
--- a/src/routing/upstream_choice.h
+++ b/src/routing/upstream_choice.h
@@ -6,6 +6,7 @@
 
 #include "base/ids.h"
 #include "routing/first_token.h"
+#include "routing/learned_capacity.h"
 #include "routing/load_tracker.h"
 
 namespace dandelion::routing {
@@ -22,13 +23,18 @@
   Load load;
   /// Share of its requests that failed, 0 to 1; recent ones weigh most.
   double failure_rate = 0;
-  /// Average time per token of an engine, or to the answer's head of a service.
-  std::optional<double> average_ms;
+  /// Time per token of an engine, or to the answer's head of a service.
+  Speed speed;
   /// Random number in [0, 1) that spreads the choices of daemons which know the
   /// same loads, as none of them knows yet what the others have just placed.
   double spread = 0;
 };
 
+/// Assumes of candidates whose speed is not known that it is what the others'
+/// is on average, so that nothing known is no reason for all daemons to
+/// choose them at once. Leaves them as they are if no speed is known.
+void AssumeTypicalSpeed(std::vector<UpstreamCandidate>& candidates);
+
 /// Expected size of a generation.
 struct GenerationSize {
   int64_t prompt_tokens = 0;
--- a/src/routing/upstream_health.cc
+++ b/src/routing/upstream_health.cc
@@ -89,6 +89,14 @@
   return stats ? stats->times[static_cast<size_t>(work)].learned : nothing;
 }
 
+Speed UpstreamHealth::SpeedOf(const UpstreamId& id,
+                              Work work,
+                              Millis now) const {
+  const LearnedCapacity& learned = Learned(id, work);
+  const auto own = RecentMs(id, work, TimeSource::kOwn, now);
+  return {own ? own : learned.AverageMs(now), learned.DeviationMs(now)};
+}
+
 std::optional<double> UpstreamHealth::RecentMs(const UpstreamId& id,
                                                Work work,
                                                TimeSource source,
--- a/src/routing/upstream_health.h
+++ b/src/routing/upstream_health.h
@@ -90,6 +90,9 @@
   bool IsEjected(const base::UpstreamId& id, base::Millis now) const;
   /// Moving average of failures, 0 to 1; 0 for an unknown upstream.
   double FailureRate(const base::UpstreamId& id) const;
+  /// Returns what an upstream is known to take for a unit now: this daemon's
+  /// own recent times first, else those of all.
+  Speed SpeedOf(const base::UpstreamId& id, Work work, base::Millis now) const;
   /// Returns what was learned of an upstream, from all sources.
   const LearnedCapacity& Learned(const base::UpstreamId& id, Work work) const;
   /// Average of the recent times of `source` and of those that are nearer to
--- a/test/decisions-test.cc
+++ b/test/decisions-test.cc
@@ -63,7 +63,7 @@
   candidate.same_data_centre = is_local;
   candidate.slots = 24;
   candidate.load = {tokens > 0 ? 1 : 0, tokens, 0, 0};
-  candidate.average_ms = token_ms;
+  candidate.speed.average_ms = token_ms;
   return candidate;
 }
 
@@ -137,7 +137,7 @@
     candidate.same_data_centre = true;
     candidate.slots = kServiceSlots;
     candidate.load.running = running;
-    candidate.average_ms = answer_ms;
+    candidate.speed.average_ms = answer_ms;
     return candidate;
   };
   const routing::UpstreamCandidate slow = make_service("slow", 0, 120);
@@ -149,6 +149,10 @@
   // All slots of the fast one are taken.
   CHECK(routing::ChooseService(
             {slow, make_service("fast", kServiceSlots, 30)}) == 0);
+  // One whose times vary slows down at loads that nobody hears of in time.
+  routing::UpstreamCandidate varying = make_service("varying", 1, 30);
+  varying.speed.deviation_ms = 30;
+  CHECK(routing::ChooseService({varying, make_service("even", 3, 40)}) == 1);
   // Of services that are alike, the one with less load.
   CHECK(routing::ChooseService(
             {make_service("a", 2, 30), make_service("b", 1, 30)}) == 1);
--- a/test/learned-capacity-test.cc
+++ b/test/learned-capacity-test.cc
@@ -48,6 +48,21 @@
   CHECK(*fixture.learned.AverageMs(fixture.now) < 16);
 }
 
+// A service that slows down whenever much is sent there.
+TEST_CASE("an upstream whose times vary counts as an even one", "[capacity]") {
+  CapacityFixture fixture;
+  CHECK(fixture.learned.DeviationMs(fixture.now) == 0);
+  fixture.Run(5, Millis(5000));
+  CHECK(fixture.learned.DeviationMs(fixture.now) == 0);
+  int times = 0;
+  fixture.ms_at = [&times](int64_t) { return ++times % 2 == 0 ? 8.0 : 32.0; };
+  fixture.Run(5, Millis(5000));
+  CHECK(fixture.learned.DeviationMs(fixture.now) > 8);
+  fixture.ms_at = [](int64_t) { return 8.0; };
+  fixture.Run(5, Millis(5000));
+  CHECK(fixture.learned.DeviationMs(fixture.now) < 1);
+}
+
 TEST_CASE("a slow upstream that gets nothing is never tried again",
           "[capacity]") {
   CapacityFixture fixture;
