--- a/src/config/problem.cc
+++ b/src/config/problem.cc
@@ -12,6 +12,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
+#include "config/syntax.h"
 
 namespace dandelion::config {
 namespace {
@@ -40,36 +41,58 @@
   return found == schema.end() ? nullptr : &*found;
 }
 
-// Returns the member of `known` with the smallest edit distance to `key`; empty
-// if the distance of all is half the length of `key` plus 2 or more.
-std::string FindNearestKey(const json& known, const std::string& key) {
+// Returns a remedy that names the most similar of `known`, or `otherwise` if
+// the distance of all is half the length of `name` plus 2 or more.
+std::string SuggestNearest(const std::vector<std::string>& known,
+                           const std::string& name,
+                           const std::string& otherwise) {
   std::string nearest;
-  size_t best_distance = key.size() / 2 + 2;
-  for (const auto& [name, ignored] : known.items()) {
-    const size_t distance = EditDistance(name, key);
+  size_t best_distance = name.size() / 2 + 2;
+  for (const std::string& candidate : known) {
+    const size_t distance = EditDistance(candidate, name);
     if (distance < best_distance) {
       best_distance = distance;
-      nearest = name;
+      nearest = candidate;
     }
   }
-  return nearest;
+  return nearest.empty() ? otherwise
+                         : absl::StrCat("did you mean \"", nearest, "\"?");
 }
 
-// Reports keys that the schema does not define. valijson reports them too, but
-// without a suggestion.
-void FindUnknownKeys(const json& value,
-                     const json& schema,
-                     const std::string& place,
-                     std::vector<Problem>* problems) {
+// Reports a string that is none of those that the schema lists.
+void CheckListedValue(const json& value,
+                      const json& schema,
+                      const std::string& place,
+                      std::vector<Problem>* problems) {
+  const json* listed = FindSubschema(schema, "enum");
+  if (listed == nullptr || !value.is_string() ||
+      std::find(listed->begin(), listed->end(), value) != listed->end()) {
+    return;
+  }
+  const std::vector<std::string> names = *listed;
+  problems->push_back(
+      {place,
+       absl::StrCat("\"", value.get<std::string>(), "\" is none of ",
+                    absl::StrJoin(names, ", ")),
+       SuggestNearest(names, value.get<std::string>(), "write one of these")});
+}
+
+// Reports keys that the schema does not define, and values that it does not
+// list. valijson reports them too, but without a suggestion.
+void FindUnknownNames(const json& value,
+                      const json& schema,
+                      const std::string& place,
+                      std::vector<Problem>* problems) {
   if (value.is_array()) {
     if (const json* items = FindSubschema(schema, "items")) {
       for (size_t i = 0; i < value.size(); ++i) {
-        FindUnknownKeys(value[i], *items, absl::StrCat(place, "[", i, "]"),
-                        problems);
+        FindUnknownNames(value[i], *items, absl::StrCat(place, "[", i, "]"),
+                         problems);
       }
     }
     return;
   }
+  CheckListedValue(value, schema, place, problems);
   const json* properties = FindSubschema(schema, "properties");
   if (!value.is_object() || properties == nullptr) {
     return;
@@ -77,38 +100,42 @@
   for (const auto& [key, member] : value.items()) {
     const std::string member_place = absl::StrCat(place, ".", key);
     if (const json* known = FindSubschema(*properties, key)) {
-      FindUnknownKeys(member, *known, member_place, problems);
+      FindUnknownNames(member, *known, member_place, problems);
       continue;
     }
-    const std::string nearest = FindNearestKey(*properties, key);
+    std::vector<std::string> names;
+    for (const auto& [name, ignored] : properties->items()) {
+      names.push_back(name);
+    }
     problems->push_back(
-        {member_place, "unknown key",
-         nearest.empty() ? "remove it"
-                         : absl::StrCat("did you mean \"", nearest, "\"?")});
+        {member_place, "unknown key", SuggestNearest(names, key, "remove it")});
   }
 }
 
-// Converts a location of valijson, such as `<root>["pools"][0]`, to the form
+// Converts a location of valijson, such as `<root>[pools][0]`, to the form
 // `$.pools[0]`.
 std::string FormatPlace(const valijson::ValidationResults::Error& error) {
   std::string place;
-  for (std::string part : error.context) {
+  for (const std::string& part : error.context) {
+    const bool is_index =
+        part.find_first_not_of("[0123456789]") == std::string::npos;
     if (part == "<root>") {
-      part = "$";
-    } else if (part.size() > 2 && part.front() == '[' && part[1] == '"') {
-      part = "." + part.substr(2, part.size() - 4);
+      place += "$";
+    } else if (is_index || part.size() <= 2 || part.front() != '[') {
+      place += part;
+    } else {
+      place += "." + part.substr(1, part.size() - 2);
     }
-    place += part;
   }
   return place;
 }
 
 // Returns whether an error of valijson is left out of the result: those that
-// only repeat the error of a nested value, unknown keys, which
-// `FindUnknownKeys` reports, and violated `enum` and `pattern` constraints.
+// only repeat the error of a nested value, and what `FindUnknownNames` reports.
 bool IsOmittedError(const std::string& description) {
   constexpr std::array<std::string_view, 3> kOmittedTexts = {
-      "Failed to validate", "additionalProperties", "Failed to match"};
+      "Failed to validate", "additionalProperties",
+      "Failed to match against any enum values"};
   return std::any_of(kOmittedTexts.begin(), kOmittedTexts.end(),
                      [&](std::string_view part) {
                        return description.find(part) != std::string::npos;
@@ -119,16 +146,13 @@
 
 std::vector<Problem> CheckAgainstSchema(std::string_view text,
                                         std::string_view schema_text) {
-  json document;
-  try {
-    document = json::parse(text);
-  } catch (const json::parse_error& error) {
-    return {{absl::StrCat("byte ", error.byte), "not valid JSON",
-             "fix the syntax at this byte"}};
+  std::vector<Problem> problems = CheckSyntax(text);
+  if (!problems.empty()) {
+    return problems;
   }
+  const json document = json::parse(text);
   const json schema_json = json::parse(schema_text);
-  std::vector<Problem> problems;
-  FindUnknownKeys(document, schema_json, "$", &problems);
+  FindUnknownNames(document, schema_json, "$", &problems);
 
   valijson::Schema schema;
   valijson::SchemaParser parser;
--- a/src/config/problem.h
+++ b/src/config/problem.h
@@ -20,9 +20,9 @@
   std::string remedy;
 };
 
-/// Validates the JSON document `text` against a JSON schema. Returns an empty
-/// list if it is valid. The remedy for an unknown key suggests the most similar
-/// known key, if there is one.
+/// Validates the JSON document `text`, by `CheckSyntax` first, against a JSON
+/// schema. Returns an empty list if it is valid. The remedy for an unknown key
+/// suggests the most similar known key, if there is one.
 std::vector<Problem> CheckAgainstSchema(std::string_view text,
                                         std::string_view schema);
 
--- a/test/config-test.cc
+++ b/test/config-test.cc
@@ -40,6 +40,27 @@
   CHECK(problems[0].remedy == "did you mean \"routes\"?");
 }
 
+TEST_CASE("a mistyped value of a list is accepted") {
+  const auto problems = CheckTables(
+      R"({"routes": [{"name": "r", "match": {"path": "/"}, "pool": "p",
+                      "class": "shrt"}],
+          "pools": [{"name": "p", "kind": "engin", "upstreams": []}]})");
+  REQUIRE(problems.size() == 2);
+  CHECK(problems[0].location == "$.pools[0].kind");
+  CHECK(problems[0].remedy == "did you mean \"engine\"?");
+  CHECK(problems[1].location == "$.routes[0].class");
+  CHECK(problems[1].remedy == "did you mean \"short\"?");
+}
+
+TEST_CASE("a value that does not match its pattern is accepted") {
+  const auto problems = CheckTables(
+      R"({"routes": [{"name": "r", "match": {"path": "x"}, "pool": "p"}],
+          "pools": [{"name": "p", "kind": "engine", "upstreams": []}]})");
+  REQUIRE(problems.size() == 1);
+  CHECK(problems[0].location == "$.routes[0].match.path");
+  CHECK(problems[0].what.find("pattern") != std::string::npos);
+}
+
 TEST_CASE("the second of two concurrent publications is rejected") {
   ConfigState state;
   const std::string first = EncodePublication(state, kTables);
