Check a configuration before it is sent

Cause: operators of the users' platform had no check: a mistyped kind counts as not idempotent, an unknown field is ignored, of a key that two organisations hold the last one wins, and nobody hears of it. Tables had `validate`, which finds only what daemons reject.

It reads with the daemons' own code (CheckTables, ParseCatalogue, FindRoute's order). API keys are never shown. The daemon's code changes by one constant that became a member function of its settings.

Not done: versions in orders for roll-outs, drain against the stop's grace.

--- a/src/kernel/fleet_daemon.cc
+++ b/src/kernel/fleet_daemon.cc
@@ -55,8 +55,6 @@
 constexpr Millis kFirstReadDelay{250};
 // Share of the host's link that answers to pulls of records may take.
 constexpr double kAnswerLinkShare = 0.4;
-// Share of the process's memory that callers' requests may take.
-constexpr double kRequestMemoryShare = 0.5;
 // The store counts as silent if the upstreams' topic was last verified longer
 // ago than this; engines are then polled for their own reports.
 constexpr Millis kStoreSilentAfter{1200};
@@ -571,8 +569,8 @@
     http::ServerLimits limits;
     limits.connections = CallerConnectionLimit(settings_.max_descriptors);
     limits.connections_per_address = limits.connections;
-    limits.request_memory_bytes = static_cast<size_t>(
-        static_cast<double>(settings_.memory_bytes) * kRequestMemoryShare);
+    limits.request_memory_bytes =
+        static_cast<size_t>(settings_.RequestMemoryBytes());
     return limits;
   }
 
--- a/src/kernel/fleet_settings.h
+++ b/src/kernel/fleet_settings.h
@@ -41,7 +41,7 @@
   base::Millis retry_window{10'000};
   /// Descriptors that the process may have open; 0 if not known.
   size_t max_descriptors = 0;
-  /// Memory that the process may use. Half of it is for callers' requests.
+  /// Memory that the process may use.
   int64_t memory_bytes = INT64_C(96'000'000);
   /// Processor of the host, in cores; 0 if not known.
   double processor_share = 0;
@@ -53,6 +53,10 @@
   double rollout_slack = 50;
   /// Time from the stop signal until the process is killed.
   base::Millis stop_grace{8000};
+
+  /// Half of the memory is for callers' requests that arrive or are in
+  /// progress.
+  int64_t RequestMemoryBytes() const { return memory_bytes / 2; }
 };
 
 /// Reads and parses the settings file at `path`. Fails like
--- a/test/daemon-support.h
+++ b/test/daemon-support.h
@@ -28,22 +28,31 @@
 /// Kills the process when destroyed.
 class DaemonProcess {
  public:
-  DaemonProcess(const std::string& settings_path, const std::string& log) {
-    const std::string setting = "DANDELIONDYKE_CONFIG=" + settings_path;
-    std::string program = DANDELION_BUILD "/dandeliond-platform";
-    std::vector<char*> arguments = {program.data(), nullptr};
-    std::string variable = setting;
+  DaemonProcess(const std::string& settings_path, const std::string& log)
+      : DaemonProcess({DANDELION_BUILD "/dandeliond-platform"},
+                      settings_path,
+                      log) {}
+  /// Runs a program with arguments instead of the daemon.
+  DaemonProcess(std::vector<std::string> command,
+                const std::string& settings_path,
+                const std::string& log) {
+    std::vector<char*> arguments;
+    for (std::string& word : command) {
+      arguments.push_back(word.data());
+    }
+    arguments.push_back(nullptr);
+    std::string variable = "DANDELIONDYKE_CONFIG=" + settings_path;
     std::vector<char*> variables = {variable.data(), nullptr};
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(),
                                      O_WRONLY | O_CREAT | O_TRUNC, 0600);
     const int spawn_error =
-        posix_spawn(&pid_, program.c_str(), &actions, nullptr, arguments.data(),
-                    variables.data());
+        posix_spawn(&pid_, command.front().c_str(), &actions, nullptr,
+                    arguments.data(), variables.data());
     posix_spawn_file_actions_destroy(&actions);
     if (spawn_error != 0) {
-      throw std::runtime_error("cannot start " + program);
+      throw std::runtime_error("cannot start " + command.front());
     }
   }
   ~DaemonProcess() {
--- a/tools/command.h
+++ b/tools/command.h
@@ -4,7 +4,9 @@
 #include <string>
 #include <vector>
 
+#include "absl/status/statusor.h"
 #include "base/task.h"
+#include "config/rows.h"
 
 namespace dandelion::tools {
 
@@ -22,11 +24,18 @@
   kOutcomeUnknown = 5,
   /// The platform cannot be reached; nothing was published.
   kUnreachable = 6,
+  /// Of `config check` alone: what was found.
+  kWarnings = 1,
+  kErrors = 2,
 };
 
 /// Parsed command line, without the verb.
 struct Options {
   std::vector<std::string> arguments;
+  /// File of the version to compare with.
+  std::string against;
+  /// File with a daemon's settings.
+  std::string settings;
   /// "IP:PORT" of the platform.
   std::string platform;
   /// Comma-separated "IP:PORT" of the daemons' admin servers.
@@ -45,6 +54,8 @@
   int times = 0;
   bool stream = false;
   bool json = false;
+  /// Compare with the version in force.
+  bool live = false;
 };
 
 /// A verb of dandelionctl.
@@ -62,6 +73,17 @@
 /// Returns the verbs that query daemons or send requests to them, and `keys`.
 std::vector<Command> FleetCommands();
 
+/// Reads the rows in force from the platform's log.
+using RowsReader =
+    std::function<base::Task<absl::StatusOr<config::Rows>>(const Options&)>;
+/// Checks the configuration file `options.arguments[1]`, a tables file or one
+/// in the platform's form, and prints a report.
+base::Task<ExitCode> RunConfigCheck(const Options& options,
+                                    const RowsReader& read_rows);
+
+/// Prints an error and its remedy to standard error.
+void PrintError(const absl::Status& status);
+
 /// Reads a file into `text`. Returns false if it cannot be read.
 bool ReadFile(const std::string& path, std::string* text);
 
--- a/tools/config_commands.cc
+++ b/tools/config_commands.cc
@@ -36,12 +36,6 @@
   std::vector<std::string> history;
 };
 
-void PrintError(const absl::Status& status) {
-  const std::string remedy = base::RemedyOf(status);
-  fmt::print(stderr, "dandelionctl: {}{}{}\n", std::string(status.message()),
-             remedy.empty() ? "" : "\n  remedy: ", remedy);
-}
-
 absl::Status OpenLog(const Options& options, ConfigLog* config_log) {
   boost::asio::ip::tcp::endpoint endpoint;
   if (!http::ParseEndpoint(options.platform, &endpoint)) {
@@ -223,9 +217,24 @@
   co_return co_await PublishRecord(config_log, std::move(record));
 }
 
+Task<absl::StatusOr<config::Rows>> ReadRowsInForce(const Options& options) {
+  ConfigLog config_log;
+  absl::Status status = OpenLog(options, &config_log);
+  if (status.ok()) {
+    status = co_await ReadNewRecords(config_log);
+  }
+  if (!status.ok()) {
+    co_return status;
+  }
+  co_return config_log.config_state.rows();
+}
+
 Task<ExitCode> RunConfig(const Options& options) {
   const std::string subcommand =
       options.arguments.empty() ? "show" : options.arguments[0];
+  if (subcommand == "check") {
+    co_return co_await RunConfigCheck(options, ReadRowsInForce);
+  }
   ConfigLog config_log;
   ExitCode exit_code = ExitCode::kSuccess;
   const bool log_read =
@@ -260,7 +269,8 @@
     }
     co_return ExitCode::kSuccess;
   }
-  fmt::print(stderr, "usage: dandelionctl config show|history|diff FILE\n");
+  fmt::print(stderr,
+             "usage: dandelionctl config show|history|diff FILE|check FILE\n");
   co_return ExitCode::kUsage;
 }
 
@@ -325,6 +335,12 @@
 
 }  // namespace
 
+void PrintError(const absl::Status& status) {
+  const std::string remedy = base::RemedyOf(status);
+  fmt::print(stderr, "dandelionctl: {}{}{}\n", std::string(status.message()),
+             remedy.empty() ? "" : "\n  remedy: ", remedy);
+}
+
 bool ReadFile(const std::string& path, std::string* text) {
   std::ifstream file(path);
   std::ostringstream content;
@@ -338,7 +354,8 @@
       {"validate", "TABLES.json", "check the tables without publishing them",
        RunValidate},
       {"publish", "TABLES.json", "publish the tables", RunPublish},
-      {"config", "show|history|diff FILE", "read the configuration", RunConfig},
+      {"config", "show|history|diff FILE|check FILE",
+       "read or check the configuration", RunConfig},
       {"drain", "data_centre/NAME|upstream/ID",
        "take a data centre or upstream out of service",
        [](const Options& options) { return SetInService(options, false); }},
--- a/tools/dandelionctl.cc
+++ b/tools/dandelionctl.cc
@@ -29,7 +29,8 @@
   }
   fmt::print(out,
              "\nexit codes: 0 done, 1 failed, 2 usage, 3 invalid tables, "
-             "4 lost a race,\n5 outcome unknown, 6 platform unreachable\n\n");
+             "4 lost a race,\n5 outcome unknown, 6 platform unreachable;\n"
+             "of config check: 0 clean, 1 warnings, 2 errors\n\n");
 }
 
 /// Owns the string that popt allocates for an option and copies it to the
@@ -56,6 +57,8 @@
                       const char** argv,
                       Options* options,
                       bool* help) {
+  TextOption against(&options->against);
+  TextOption settings(&options->settings);
   TextOption platform(&options->platform);
   TextOption admin(&options->admin);
   TextOption to(&options->to);
@@ -67,8 +70,15 @@
   TextOption body(&options->body);
   int stream = 0;
   int as_json = 0;
+  int live = 0;
   int wants_help = 0;
   const poptOption table[] = {
+      {"against", 0, POPT_ARG_STRING, against.value(), 0,
+       "compare the checked configuration with this one", "FILE"},
+      {"live", 0, POPT_ARG_NONE, &live, 0,
+       "compare the checked configuration with the version in force", nullptr},
+      {"settings", 0, POPT_ARG_STRING, settings.value(), 0,
+       "a daemon's settings, for the limits in them", "FILE"},
       {"platform", 'p', POPT_ARG_STRING, platform.value(), 0,
        "the platform's log service", "IP:PORT"},
       {"admin", 'a', POPT_ARG_STRING, admin.value(), 0,
@@ -108,6 +118,7 @@
   }
   options->stream = stream != 0;
   options->json = as_json != 0;
+  options->live = live != 0;
   *help = wants_help != 0;
   if (*help) {
     PrintUsage(stdout);
