Bound the ages and counts that peers and the store tell

Cause: ages and counts were taken as a peer told them. A damaged heartbeat put the verification of the configuration into the future, so that a revoked key would have stayed valid, and made loads negative.

Undefined behaviour that it found by hand with sanitizers (a count of crashes beyond its type) is bounded too.

Not done: a record's damaged offset, the size of a peer's message, names of upstreams that don't exist.

--- a/src/admission/part_exchange.cc
+++ b/src/admission/part_exchange.cc
@@ -1,5 +1,6 @@
 #include "admission/part_exchange.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -35,7 +36,7 @@
 PartEvidence::Crash DecodeCrash(const proto::EngineCrash& in) {
   PartEvidence::Crash crash;
   crash.upstream = UpstreamId(in.upstream());
-  crash.age = Millis(in.age_ms());
+  crash.age = base::AgeFromPeer(in.age_ms());
   for (const proto::PromptParts& request : in.late_requests()) {
     crash.requests[DecodeParts(request.parts())] = BreakStage::kContentSent;
   }
@@ -54,13 +55,19 @@
   out->set_trial_age_ms(quarantine.trial_age.count());
 }
 
+// Larger counts come from a faulty peer.
+int64_t DecodeCount(int64_t count) {
+  constexpr int64_t kMaxCount = 1'000'000;
+  return std::clamp<int64_t>(count, 0, kMaxCount);
+}
+
 PartEvidence::Quarantine DecodeQuarantine(const proto::QuarantinedParts& in) {
   PartEvidence::Quarantine quarantine;
   quarantine.parts = DecodeParts(in.parts());
-  quarantine.crashes = in.crashes();
-  quarantine.break_age = Millis(in.break_age_ms());
-  quarantine.trials = in.trials();
-  quarantine.trial_age = Millis(in.trial_age_ms());
+  quarantine.crashes = DecodeCount(in.crashes());
+  quarantine.break_age = base::AgeFromPeer(in.break_age_ms());
+  quarantine.trials = DecodeCount(in.trials());
+  quarantine.trial_age = base::AgeFromPeer(in.trial_age_ms());
   return quarantine;
 }
 
@@ -97,7 +104,8 @@
     evidence.quarantines.push_back(DecodeQuarantine(item));
   }
   for (const proto::PartProof& proof : message.proofs()) {
-    evidence.proofs.push_back({PartId(proof.part()), Millis(proof.age_ms())});
+    evidence.proofs.push_back(
+        {PartId(proof.part()), base::AgeFromPeer(proof.age_ms())});
   }
   quarantine.ApplyPeerEvidence(from, evidence, now);
 }
--- a/src/admission/slot_service.cc
+++ b/src/admission/slot_service.cc
@@ -126,7 +126,7 @@
   grant.report.preemptions = report.preemptions();
   grant.report.cold = report.cold();
   grant.report.leaving = report.leaving();
-  grant.report.received = now - Millis(report.age_ms());
+  grant.report.received = now - base::AgeFromPeer(report.age_ms());
   return grant;
 }
 
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <compare>
 #include <cstdint>
 #include <functional>
@@ -31,6 +32,13 @@
   int64_t count_ = 0;
 };
 
+/// Returns an age that another process told, in milliseconds. It is at least 0,
+/// so that nothing comes from the future, and at most a day.
+constexpr Millis AgeFromPeer(int64_t ms) {
+  constexpr int64_t kMaxAgeMs = INT64_C(24) * 60 * 60 * 1000;
+  return Millis(std::clamp<int64_t>(ms, 0, kMaxAgeMs));
+}
+
 /// A monotonic clock with a replaceable source, so that tests can set the time.
 /// Its values are meaningful on one host only; never compare them across hosts.
 class Clock {
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -143,7 +143,7 @@
 }
 
 void Membership::ApplySummary(const proto::DataCentreSummary& summary) {
-  const Millis heard_at = clock_.Now() - Millis(summary.age_ms());
+  const Millis heard_at = clock_.Now() - base::AgeFromPeer(summary.age_ms());
   for (const uint32_t hash : summary.alive()) {
     const auto id = id_by_hash_.find(hash);
     if (id == id_by_hash_.end()) {
--- a/src/membership/mesh.cc
+++ b/src/membership/mesh.cc
@@ -173,9 +173,11 @@
   // The peer sent the message `echo_age_ms` after it received the echoed
   // timestamp, so at the earliest `echo_age_ms` after the timestamp was made.
   const std::optional<Millis> echoed_at = timestamps_.Resolve(heartbeat.echo());
-  records_.Apply(from, heartbeat,
-                 echoed_at ? *echoed_at + Millis(heartbeat.echo_age_ms())
-                           : now - kUnknownMessageAge);
+  records_.Apply(
+      from, heartbeat,
+      echoed_at ? std::min(now, *echoed_at +
+                                    base::AgeFromPeer(heartbeat.echo_age_ms()))
+                : now - kUnknownMessageAge);
   ApplyViews(from, heartbeat);
   ApplyLoads(from, heartbeat);
   if (heartbeat.has_part_evidence()) {
@@ -234,7 +236,7 @@
     if (!hears_itself && view.alive_size() > 0) {
       roster_.SetView(data_centre, from,
                       {view.alive().begin(), view.alive().end()},
-                      Millis(std::max<int64_t>(0, view.age_ms())));
+                      base::AgeFromPeer(view.age_ms()));
     }
   }
 }
--- a/src/membership/record_exchange.cc
+++ b/src/membership/record_exchange.cc
@@ -148,7 +148,7 @@
     return true;
   }
   hooks_.on_update(from, topic, update,
-                   earliest_sent_at - Millis(in.proof_age_ms()));
+                   earliest_sent_at - base::AgeFromPeer(in.proof_age_ms()));
   RecordProgress(topic, update.from);
   const TopicReplica& replica = hooks_.replica(topic);
   if (in.key_digest() != 0 && update.to == replica.position() &&
--- a/src/rollout/rollout_exchange.cc
+++ b/src/rollout/rollout_exchange.cc
@@ -8,9 +8,6 @@
 
 using base::Millis;
 
-// Longer ages come from a faulty peer.
-constexpr int64_t kMaxAgeMs = INT64_C(24) * 60 * 60 * 1000;
-
 using BucketPairs = google::protobuf::RepeatedField<uint32_t>;
 
 void EncodeTimes(const TimeHistogram& times, BucketPairs* out) {
@@ -85,10 +82,6 @@
   return proto::RolloutDecision::RUNNING;
 }
 
-Millis DecodeAge(int64_t age_ms) {
-  return Millis(std::clamp<int64_t>(age_ms, 0, kMaxAgeMs));
-}
-
 State DecodeState(proto::RolloutDecision::State state) {
   switch (state) {
     case proto::RolloutDecision::MOVING:
@@ -163,10 +156,11 @@
     shared.decision.order_offset = in.order();
     shared.decision.sequence = in.sequence();
     shared.decision.state = DecodeState(in.state());
-    shared.decision.share = std::clamp(in.share(), 0.0, 1.0);
-    shared.decision.order_age = DecodeAge(in.order_age_ms());
+    // A share that is no number counts as none.
+    shared.decision.share = in.share() > 0 ? std::min(in.share(), 1.0) : 0.0;
+    shared.decision.order_age = base::AgeFromPeer(in.order_age_ms());
     shared.decision.decider = base::HostId(in.decider());
-    shared.age = DecodeAge(in.age_ms());
+    shared.age = base::AgeFromPeer(in.age_ms());
     rollouts.ApplyDecision(shared, now);
   }
 }
--- a/src/routing/load_exchange.cc
+++ b/src/routing/load_exchange.cc
@@ -1,5 +1,6 @@
 #include "routing/load_exchange.h"
 
+#include <algorithm>
 #include <set>
 
 namespace dandelion::routing {
@@ -8,6 +9,8 @@
 using base::UpstreamId;
 
 constexpr double kUsPerMs = 1000;
+// No token or answer takes as long as this: an hour.
+constexpr int64_t kMaxUs = INT64_C(3600) * 1000 * 1000;
 
 const std::set<UpstreamId>& SelectScope(const LoadTracker::Changes& changes,
                                         proto::LoadScope scope) {
@@ -21,9 +24,17 @@
   }
 }
 
+// Counts outside of these bounds come from a faulty peer. So large that sums of
+// them still are numbers.
+int64_t DecodeCount(int64_t count) {
+  constexpr int64_t kMaxCount = INT64_C(1) << 40;
+  return std::clamp<int64_t>(count, 0, kMaxCount);
+}
+
 Load DecodeLoad(const proto::UpstreamLoad& load) {
-  return {load.running(), load.tokens(), load.unread_tokens(),
-          load.arriving_tokens()};
+  return {DecodeCount(load.running()), DecodeCount(load.tokens()),
+          DecodeCount(load.unread_tokens()),
+          DecodeCount(load.arriving_tokens())};
 }
 
 std::set<UpstreamId> ListedUpstreams(const proto::FleetBeat& heartbeat) {
@@ -73,7 +84,7 @@
                               const proto::UpstreamLoad& load,
                               TimeSource source) {
   const auto apply = [&](Work work, int64_t us) {
-    if (us > 0) {
+    if (us > 0 && us <= kMaxUs) {
       health_.RecordTime(id, work, source, loads_.TotalLoad(id),
                          static_cast<double>(us) / kUsPerMs, clock_.Now());
     }
--- a/src/routing/self_report_exchange.cc
+++ b/src/routing/self_report_exchange.cc
@@ -28,10 +28,10 @@
     report.upstream = base::UpstreamId(in.upstream());
     report.started_at = in.started_at();
     report.leaving = in.leaving();
-    if (in.has_requests_per_second()) {
+    if (in.has_requests_per_second() && in.requests_per_second() >= 0) {
       report.requests_per_second = in.requests_per_second();
     }
-    report.limit_age = Millis(in.limit_age_ms());
+    report.limit_age = base::AgeFromPeer(in.limit_age_ms());
     reports.ApplyShared(report, now);
   }
 }
--- a/test/mesh-fixture.h
+++ b/test/mesh-fixture.h
@@ -130,6 +130,9 @@
           is_cut(message.from, message.to)) {
         continue;
       }
+      if (!tamper(&message.envelope)) {
+        continue;
+      }
       CountMessage(message, *to->second);
       to->second->mesh->OnMessage(HostId(message.from), message.envelope);
     }
@@ -155,6 +158,10 @@
   /// Whether a message from the first to the second daemon is dropped.
   std::function<bool(const std::string& from, const std::string& to)> is_cut =
       [](const std::string&, const std::string&) { return false; };
+  /// May change a message on its way. Returns whether it arrives.
+  std::function<bool(proto::Envelope*)> tamper = [](proto::Envelope*) {
+    return true;
+  };
   /// Messages and their bytes that have arrived, by receiver.
   struct Traffic {
     int64_t messages = 0;
