--- a/src/routing/upstream_health.h
+++ b/src/routing/upstream_health.h
@@ -24,7 +24,7 @@
   kUnresponsive,
 };
 
-/// What an upstream does, by which its speed is measured.
+/// The units of work whose times are averaged apart.
 enum class Work {
   /// The head of an answer.
   kAnswer,
