Don't let services that answer within a millisecond look free

Times are measured in whole milliseconds, so a nearby service has an average of 0. Its cost was 0 then, whatever its load, its failures and its distance: the first of such services got all requests until its slots were taken, and a service that sends its head at once and breaks off went before one of which nothing is known. A request could spend all its tries on services that were gone, one after the other, and be refused.

Times of less than a millisecond count as one, for engines too. A failure costs at least what a typical service of the pool takes, since the request then goes to another one.

--- a/src/routing/upstream_choice.cc
+++ b/src/routing/upstream_choice.cc
@@ -7,6 +7,9 @@
 namespace dandelion::routing {
 namespace {
 
+// Times are measured in whole milliseconds, so 0 may be any time up to this. A
+// cost of 0 would hide how full an upstream is and how often it fails.
+constexpr double kLeastMs = 1;
 // Answer time that is assumed of a service whose speed is not known yet.
 constexpr double kDefaultAnswerMs = 20;
 // Share of an engine's memory that stays free, because outputs can be longer
@@ -35,7 +38,14 @@
 constexpr double kFailurePenalty = 6;
 
 double TokenMs(const UpstreamCandidate& candidate) {
-  return candidate.speed.average_ms.value_or(kDefaultTokenMs);
+  return std::max(kLeastMs,
+                  candidate.speed.average_ms.value_or(kDefaultTokenMs));
+}
+
+double AnswerMs(const UpstreamCandidate& candidate) {
+  return std::max(kLeastMs,
+                  candidate.speed.average_ms.value_or(kDefaultAnswerMs) +
+                      kDeviations * candidate.speed.deviation_ms);
 }
 
 // Whether the first token is predicted to come within `bound`.
@@ -83,19 +93,28 @@
          limit;
 }
 
-double ComputeServiceCost(const UpstreamCandidate& candidate) {
-  const double answer_ms =
-      candidate.speed.average_ms.value_or(kDefaultAnswerMs) +
-      kDeviations * candidate.speed.deviation_ms;
+// `typical_ms` is what the services of the pool take for an answer on average.
+// A request that fails goes to another of them, so one that fails sooner than
+// others answer does not fail at less cost.
+double ComputeServiceCost(const UpstreamCandidate& candidate,
+                          double typical_ms) {
   const double fill =
       static_cast<double>(candidate.load.running) /
       static_cast<double>(std::max<int64_t>(1, candidate.slots));
-  double cost = answer_ms * (1 + kServiceFillPenalty * fill);
-  cost *= 1 + kFailurePenalty * candidate.failure_rate;
+  double cost = AnswerMs(candidate) * (1 + kServiceFillPenalty * fill);
+  cost += kFailurePenalty * candidate.failure_rate * std::max(cost, typical_ms);
   cost *= 1 + kSpread * candidate.spread;
   return candidate.same_data_centre ? cost : cost * kRemoteServicePenalty;
 }
 
+double TypicalAnswerMs(const std::vector<UpstreamCandidate>& candidates) {
+  double sum = 0;
+  for (const UpstreamCandidate& candidate : candidates) {
+    sum += AnswerMs(candidate);
+  }
+  return sum / static_cast<double>(std::max<size_t>(1, candidates.size()));
+}
+
 }  // namespace
 
 void AssumeTypicalSpeed(std::vector<UpstreamCandidate>& candidates) {
@@ -138,10 +157,15 @@
 
 std::optional<size_t> ChooseService(
     const std::vector<UpstreamCandidate>& candidates) {
-  return FindCheapest(candidates, ComputeServiceCost,
-                      [](const UpstreamCandidate& candidate) {
-                        return candidate.load.running < candidate.slots;
-                      });
+  const double typical_ms = TypicalAnswerMs(candidates);
+  return FindCheapest(
+      candidates,
+      [typical_ms](const UpstreamCandidate& candidate) {
+        return ComputeServiceCost(candidate, typical_ms);
+      },
+      [](const UpstreamCandidate& candidate) {
+        return candidate.load.running < candidate.slots;
+      });
 }
 
 }  // namespace dandelion::routing
--- a/test/decisions-test.cc
+++ b/test/decisions-test.cc
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include <optional>
 #include <vector>
 
 #include "admission/fair_queue.h"
@@ -158,6 +159,49 @@
             {make_service("a", 2, 30), make_service("b", 1, 30)}) == 1);
 }
 
+// Times are measured in whole milliseconds, and nearby services answer sooner.
+TEST_CASE("services that answer at once look free however full or broken",
+          "[placement]") {
+  const auto make_service = [](const std::string& id, int64_t running,
+                               std::optional<double> answer_ms) {
+    routing::UpstreamCandidate candidate;
+    candidate.id = UpstreamId(id);
+    candidate.same_data_centre = true;
+    candidate.slots = 10;
+    candidate.load.running = running;
+    candidate.speed.average_ms = answer_ms;
+    return candidate;
+  };
+  const routing::UpstreamCandidate busy = make_service("busy", 9, 0);
+  const routing::UpstreamCandidate idle = make_service("idle", 0, 0);
+  CHECK(routing::ChooseService({busy, idle}) == 1);
+  CHECK(routing::ChooseService({busy, make_service("other", 0, 0.4)}) == 1);
+  routing::UpstreamCandidate remote = idle;
+  remote.same_data_centre = false;
+  CHECK(routing::ChooseService({remote, idle}) == 1);
+  // It sends its head at once, and then breaks off.
+  routing::UpstreamCandidate broken = idle;
+  broken.failure_rate = routing::UpstreamHealth::kNewestWeight;
+  CHECK(routing::ChooseService({broken, idle}) == 1);
+  // Nothing is known of the one that is new.
+  for (const double other_ms : {0.4, 5.0, 200.0}) {
+    CAPTURE(other_ms);
+    std::vector<routing::UpstreamCandidate> candidates = {
+        broken, make_service("slow", 10, other_ms),
+        make_service("new", 0, std::nullopt)};
+    routing::AssumeTypicalSpeed(candidates);
+    CHECK(routing::ChooseService(candidates) == 2);
+  }
+}
+
+TEST_CASE("engines that make a token at once look free however full",
+          "[placement]") {
+  const routing::GenerationSize generation{3000, 1000};
+  CHECK(routing::ChooseEngine(
+            {MakeEngine("full", 25'000, 0), MakeEngine("idle", 0, 0)},
+            generation, kEngineMemoryTokens) == size_t{1});
+}
+
 TEST_CASE("peers learn of new, changed and ended loads", "[loads]") {
   const routing::UpstreamHealth::Hooks no_op_hooks{
       [](const UpstreamId&, Millis) {}, [](const UpstreamId&) {}};
