Compare the versions of a roll-out period by period

The new version's answers were compared with all that the old version had answered since the order. The new version's share grows, so a bad moment late in the roll-out that slows or breaks both versions falls on a larger part of its answers, and a sound version was reverted.

The decider keeps the counts by periods of 500 ms, the older ones joined, and compares within each. In a period the new version may do as badly as the old one does then, or usually does if that is worse; how well the rate is known counts. Answers up to 2 ms later are none, as times are whole milliseconds.

--- a/src/rollout/plan.cc
+++ b/src/rollout/plan.cc
@@ -16,9 +16,12 @@
 // Time in which requests are still sent by an earlier decision, or are not
 // counted yet.
 constexpr Millis kReactionTime{2000};
-// The last seconds that are judged alone, and how often the counts are kept.
+// The last seconds that are judged alone.
 constexpr Millis kRecentTime{3000};
-constexpr Millis kHistoryStep{500};
+// Length of the periods in which the versions are compared. Older ones are
+// joined, so that no more than this many are kept.
+constexpr Millis kPeriod{500};
+constexpr size_t kMaxPeriods = 40;
 
 }  // namespace
 
@@ -45,19 +48,53 @@
   return std::clamp(left / while_reacting, 0.0, 1.0);
 }
 
-Verdict RolloutPlan::JudgeAll(Millis now, const Evidence& evidence) {
-  const SideCounts& target = evidence.counts.side(Side::kTarget);
-  if (history_.empty() || now - history_.back().first >= kHistoryStep) {
-    history_.emplace_back(now, target);
+void RolloutPlan::RecordPeriod(Millis now, const Counts& counts) {
+  if (periods_.empty() || now - periods_.back().begin >= kPeriod) {
+    if (!periods_.empty()) {
+      counted_before_ += periods_.back().counts;
+    }
+    periods_.push_back({now, now, {}});
+    if (periods_.size() > kMaxPeriods) {
+      JoinPeriods(now);
+    }
+  }
+  periods_.back().end = now;
+  periods_.back().counts = counts.Since(counted_before_);
+}
+
+void RolloutPlan::JoinPeriods(Millis now) {
+  const auto first_recent = std::find_if(
+      periods_.begin(), periods_.end(),
+      [now](const Period& period) { return now - period.end <= kRecentTime; });
+  auto shortest = periods_.end();
+  for (auto left = periods_.begin(); left != first_recent; ++left) {
+    const auto right = left + 1;
+    if (right != first_recent &&
+        (shortest == periods_.end() ||
+         right->end - left->begin < (shortest + 1)->end - shortest->begin)) {
+      shortest = left;
+    }
+  }
+  if (shortest != periods_.end()) {
+    shortest->end = (shortest + 1)->end;
+    shortest->counts += (shortest + 1)->counts;
+    periods_.erase(shortest + 1);
   }
-  while (history_.size() > 1 && now - history_[1].first >= kRecentTime) {
-    history_.pop_front();
+}
+
+Verdict RolloutPlan::JudgeAll(Millis now, const Evidence& evidence) {
+  RecordPeriod(now, evidence.counts);
+  std::vector<const Counts*> all;
+  std::vector<const Counts*> recent;
+  for (const Period& period : periods_) {
+    all.push_back(&period.counts);
+    if (now - period.begin <= kRecentTime) {
+      recent.push_back(&period.counts);
+    }
   }
-  Verdict verdict = Judge(evidence.counts);
+  Verdict verdict = Judge(evidence.counts, all);
   if (verdict.finding != Finding::kBad) {
-    Counts recent = evidence.counts;
-    recent.side(Side::kTarget) = target.Since(history_.front().second);
-    Verdict of_recent = Judge(recent);
+    Verdict of_recent = Judge(evidence.counts, recent);
     if (of_recent.finding == Finding::kBad) {
       return of_recent;
     }
--- a/src/rollout/plan.h
+++ b/src/rollout/plan.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include <algorithm>
-#include <deque>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "base/clock.h"
 #include "rollout/types.h"
@@ -81,6 +81,13 @@
   }
 
  private:
+  /// What was counted from one time to another.
+  struct Period {
+    base::Millis begin;
+    base::Millis end;
+    Counts counts;
+  };
+
   /// The part of the time limit that has passed.
   double Elapsed(base::Millis now) const;
   double AllowedShare(base::Millis now, const Evidence& evidence) const;
@@ -88,13 +95,20 @@
   /// Judges all evidence and that of the last seconds alone, in which a version
   /// that has turned bad shows sooner.
   Verdict JudgeAll(base::Millis now, const Evidence& evidence);
+  /// Adds what is new in `counts` to the periods.
+  void RecordPeriod(base::Millis now, const Counts& counts);
+  /// Joins the two neighbours that are the shortest together, of those that are
+  /// no longer judged alone, so that the number of periods stays bounded.
+  void JoinPeriods(base::Millis now);
 
   Order order_;
   base::Millis ordered_at_;
   ExposureBound bound_;
   State state_ = State::kRunning;
-  /// What the target version had done at earlier times, the oldest first.
-  std::deque<std::pair<base::Millis, SideCounts>> history_;
+  /// The roll-out so far, the oldest first. The last one still grows.
+  std::vector<Period> periods_;
+  /// What had been counted when the last period began.
+  Counts counted_before_;
 };
 
 }  // namespace dandelion::rollout
--- a/src/rollout/types.cc
+++ b/src/rollout/types.cc
@@ -6,6 +6,10 @@
 namespace dandelion::rollout {
 namespace {
 
+// The end of the first bucket is a quarter of a doubling above this.
+constexpr double kLowestMs = 0.25;
+constexpr double kBucketsPerDoubling = 4;
+
 // The sum of several daemons falls when one of them is lost.
 int64_t Difference(int64_t now, int64_t before) {
   return std::max<int64_t>(0, now - before);
@@ -27,13 +31,16 @@
   return "unknown";
 }
 
-void TimeHistogram::Record(double milliseconds) {
-  constexpr double kLowestMs = 0.25;
-  constexpr double kBucketsPerDoubling = 4;
+size_t TimeHistogram::BucketFor(double milliseconds) {
   const double position =
       kBucketsPerDoubling *
       std::log2(std::max(milliseconds, kLowestMs) / kLowestMs);
-  AddToBucket(std::min(static_cast<size_t>(position), kBuckets - 1), 1);
+  return std::min(static_cast<size_t>(position), kBuckets - 1);
+}
+
+double TimeHistogram::EndOf(size_t bucket) {
+  return kLowestMs *
+         std::exp2(static_cast<double>(bucket + 1) / kBucketsPerDoubling);
 }
 
 size_t TimeHistogram::BucketOf(double quantile) const {
@@ -131,4 +138,12 @@
   return *this;
 }
 
+Counts Counts::Since(const Counts& earlier) const {
+  Counts later;
+  for (size_t i = 0; i < sides.size(); ++i) {
+    later.sides[i] = sides[i].Since(earlier.sides[i]);
+  }
+  return later;
+}
+
 }  // namespace dandelion::rollout
--- a/src/rollout/types.h
+++ b/src/rollout/types.h
@@ -70,7 +70,11 @@
  public:
   static constexpr size_t kBuckets = 64;
 
-  void Record(double milliseconds);
+  static size_t BucketFor(double milliseconds);
+  /// The durations in `bucket` are shorter than this many milliseconds.
+  static double EndOf(size_t bucket);
+
+  void Record(double milliseconds) { AddToBucket(BucketFor(milliseconds), 1); }
   void AddToBucket(size_t bucket, int64_t count) {
     counts_[bucket] += count;
     total_ += count;
@@ -138,6 +142,8 @@
     return sides[static_cast<size_t>(side)];
   }
   Counts& operator+=(const Counts& other);
+  /// What came after `earlier` was counted; all broken upstreams are kept.
+  Counts Since(const Counts& earlier) const;
 };
 
 }  // namespace dandelion::rollout
--- a/src/rollout/verdict.cc
+++ b/src/rollout/verdict.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <optional>
 
 namespace dandelion::rollout {
@@ -30,63 +31,134 @@
 constexpr size_t kMinBrokenUpstreams = 3;
 constexpr size_t kBrokenRatio = 3;
 
+// Answers of the old version that its usual rate counts as in each period.
+constexpr double kUsualAnswers = 2;
+// Times are measured in whole milliseconds. A difference of this many is none.
+constexpr double kTimeErrorMs = 2;
+
+using Periods = std::vector<const Counts*>;
+
 struct Sample {
   int64_t total = 0;
   int64_t harmed = 0;
 };
 
-// Whether `target` has more harm than chance makes of the rate of `old`.
-bool IsHarmedMore(const Sample& target, const Sample& old) {
-  if (target.harmed < kMinHarmed) {
-    return false;
+// Counts a kind of harm among the requests of a route.
+using CountHarm = std::function<Sample(const RouteCounts&)>;
+
+const RouteCounts& FindRoute(const SideCounts& side,
+                             const base::RouteName& route) {
+  static const RouteCounts nothing;
+  const auto found = side.routes.find(route);
+  return found == side.routes.end() ? nothing : found->second;
+}
+
+// Compares the harm at the target version with what chance makes of the old
+// version's rate at the same time.
+class HarmComparison {
+ public:
+  explicit HarmComparison(const Sample& usual)
+      : usual_total_(static_cast<double>(usual.total) + kPriorTotal),
+        usual_rate_((static_cast<double>(usual.harmed) + kPriorHarmed) /
+                    usual_total_) {}
+
+  void AddPeriod(const Sample& target, const Sample& old) {
+    const auto total = static_cast<double>(target.total);
+    const auto old_total = static_cast<double>(old.total);
+    const double weight = old_total + kUsualAnswers;
+    // That a few answers had less harm than usual is more likely chance.
+    const double rate = std::max(usual_rate_, (static_cast<double>(old.harmed) +
+                                               usual_rate_ * kUsualAnswers) /
+                                                  weight);
+    harmed_ += target.harmed;
+    expected_ += total * rate;
+    // The rate is only known as well as the answers behind it tell.
+    const double rate_error =
+        (old_total + kUsualAnswers * kUsualAnswers / usual_total_) /
+        (weight * weight);
+    variance_ += rate * (1 - rate) * (total + total * total * rate_error);
+  }
+
+  bool IsHarmedMore() const {
+    return harmed_ >= kMinHarmed && static_cast<double>(harmed_) - expected_ >
+                                        kDeviations * std::sqrt(variance_);
   }
+
+ private:
   // One case of harm is added to what was seen, so that a version that has not
   // failed yet may still fail.
-  constexpr double kPriorHarmed = 1;
-  constexpr double kPriorTotal = 10;
-  const double rate = (static_cast<double>(old.harmed) + kPriorHarmed) /
-                      (static_cast<double>(old.total) + kPriorTotal);
-  const auto total = static_cast<double>(target.total);
-  const double expected = total * rate;
-  const double deviation = std::sqrt(expected * (1 - rate));
-  return static_cast<double>(target.harmed) - expected >
-         kDeviations * deviation;
+  static constexpr double kPriorHarmed = 1;
+  static constexpr double kPriorTotal = 10;
+
+  double usual_total_;
+  double usual_rate_;
+  int64_t harmed_ = 0;
+  double expected_ = 0;
+  double variance_ = 0;
+};
+
+bool IsHarmedMore(const base::RouteName& route,
+                  const RouteCounts& usual,
+                  const Periods& periods,
+                  const CountHarm& count_harm) {
+  HarmComparison comparison(count_harm(usual));
+  for (const Counts* period : periods) {
+    comparison.AddPeriod(
+        count_harm(FindRoute(period->side(Side::kTarget), route)),
+        count_harm(FindRoute(period->side(Side::kOld), route)));
+  }
+  return comparison.IsHarmedMore();
 }
 
-bool IsSlower(const TimeHistogram& target, const TimeHistogram& old) {
-  if (old.total() < kMinReference) {
+bool IsSlower(const base::RouteName& route,
+              const RouteCounts& usual,
+              const Periods& periods,
+              TimeHistogram RouteCounts::*times,
+              double error_ms) {
+  const TimeHistogram& reference = usual.*times;
+  if (reference.total() < kMinReference) {
     return false;
   }
-  const size_t slow = old.BucketOf(kSlowQuantile) + kSlowMargin;
-  return IsHarmedMore({target.total(), target.CountFrom(slow)},
-                      {old.total(), old.CountFrom(slow)});
+  const size_t usually_slowest = reference.BucketOf(kSlowQuantile);
+  const size_t slow =
+      std::max(usually_slowest + kSlowMargin,
+               TimeHistogram::BucketFor(TimeHistogram::EndOf(usually_slowest) +
+                                        error_ms));
+  return IsHarmedMore(
+      route, usual, periods,
+      [slow, times](const RouteCounts& counts) -> Sample {
+        return {(counts.*times).total(), (counts.*times).CountFrom(slow)};
+      });
 }
 
 std::optional<std::string> FindHarm(const base::RouteName& route,
-                                    const RouteCounts& target,
-                                    const RouteCounts& old) {
-  if (IsHarmedMore({target.ended(), target.failed},
-                   {old.ended(), old.failed})) {
+                                    const RouteCounts& usual,
+                                    const Periods& periods) {
+  if (IsHarmedMore(route, usual, periods,
+                   [](const RouteCounts& counts) -> Sample {
+                     return {counts.ended(), counts.failed};
+                   })) {
+    RouteCounts target;
+    for (const Counts* period : periods) {
+      target += FindRoute(period->side(Side::kTarget), route);
+    }
     return fmt::format("{}: {} of {} failed, {} of {} at the old version",
-                       route.value(), target.failed, target.ended(), old.failed,
-                       old.ended());
+                       route.value(), target.failed, target.ended(),
+                       usual.failed, usual.ended());
   }
-  if (IsSlower(target.answer_times, old.answer_times)) {
+  if (IsSlower(route, usual, periods, &RouteCounts::answer_times,
+               kTimeErrorMs)) {
     return fmt::format("{}: answers begin later than at the old version",
                        route.value());
   }
-  if (IsSlower(target.token_times, old.token_times)) {
+  // Times per token are averages of many, which are known better.
+  if (IsSlower(route, usual, periods, &RouteCounts::token_times, 0)) {
     return fmt::format("{}: tokens come slower than at the old version",
                        route.value());
   }
   return std::nullopt;
 }
 
-RouteCounts FindRoute(const SideCounts& side, const base::RouteName& route) {
-  const auto found = side.routes.find(route);
-  return found == side.routes.end() ? RouteCounts() : found->second;
-}
-
 bool HasEnoughAnswers(const SideCounts& target, const SideCounts& old) {
   int64_t answers = 0;
   for (const auto& [route, counts] : target.routes) {
@@ -103,12 +175,12 @@
 
 }  // namespace
 
-Verdict Judge(const Counts& counts) {
-  const SideCounts& target = counts.side(Side::kTarget);
-  const SideCounts& old = counts.side(Side::kOld);
+Verdict Judge(const Counts& all, const std::vector<const Counts*>& periods) {
+  const SideCounts& target = all.side(Side::kTarget);
+  const SideCounts& old = all.side(Side::kOld);
   for (const auto& [route, target_counts] : target.routes) {
     std::optional<std::string> harm =
-        FindHarm(route, target_counts, FindRoute(old, route));
+        FindHarm(route, FindRoute(old, route), periods);
     if (harm) {
       return {Finding::kBad, *std::move(harm)};
     }
--- a/src/rollout/verdict.h
+++ b/src/rollout/verdict.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <string>
+#include <vector>
 
 #include "rollout/types.h"
 
@@ -23,11 +24,15 @@
 };
 
 /// Compares the target version with the old one, route by route and at the same
-/// time, so that what harms both is not held against the target version.
+/// time, so that what harms both is not held against the target version: the
+/// answers of each of `periods` are compared with each other only, however
+/// large the target version's share of them is. `all` is what the whole
+/// roll-out has shown so far; it tells how the old version usually does, for
+/// periods in which it answered little.
 ///
 /// Made for versions that fail a part of their requests, or answer a part of
 /// them several times slower, on all routes or on one. The old version may fail
 /// a part as well, and upstreams of one version differ in speed by two or more.
-Verdict Judge(const Counts& counts);
+Verdict Judge(const Counts& all, const std::vector<const Counts*>& periods);
 
 }  // namespace dandelion::rollout
--- a/test/rollout-fleet.cc
+++ b/test/rollout-fleet.cc
@@ -184,7 +184,14 @@
                       now_ >= *ordered_at_ + behaviour.from &&
                       (behaviour.route.empty() || behaviour.route == route) &&
                       rates_[upstream.id] >= behaviour.above_rate;
-  answer.failed = Uniform() < options_.failing_anyway;
+  double failing = options_.failing_anyway;
+  const Spell& spell = options_.spell;
+  if (ordered_at_ && now_ >= *ordered_at_ + spell.from &&
+      now_ < *ordered_at_ + spell.until) {
+    failing = std::max(failing, spell.failing);
+    ms *= spell.slowdown;
+  }
+  answer.failed = Uniform() < failing;
   bool bad = false;
   if (harmed && Uniform() < behaviour.failing) {
     answer.failed = true;
--- a/test/rollout-fleet.h
+++ b/test/rollout-fleet.h
@@ -29,6 +29,14 @@
   double above_rate = 0;
 };
 
+/// A time after the order in which upstreams of both versions do worse.
+struct Spell {
+  base::Millis from{0};
+  base::Millis until{0};
+  double failing = 0;
+  double slowdown = 1;
+};
+
 /// A few daemons in front of one pool of two versions, on a set clock:
 /// requests, heartbeats that arrive late, and a store. Holds no policy of its
 /// own.
@@ -43,6 +51,8 @@
     VersionBehaviour target;
     /// Harm at both versions, which is not the target version's fault.
     double failing_anyway = 0;
+    /// More of it for a while.
+    Spell spell;
   };
 
   explicit RolloutFleet(Options options);
--- a/test/rollout-test.cc
+++ b/test/rollout-test.cc
@@ -112,6 +112,38 @@
   CHECK(completed >= static_cast<int>(kSeeds) - 1);
 }
 
+// While the share of the target version grows, a larger part of its answers
+// than of the old version's falls into a bad moment late in the roll-out.
+TEST_CASE("what harms both versions for a while reverts a good one",
+          "[rollout]") {
+  Spell spell;
+  spell.from = Millis(GENERATE(2000, 5000, 9000));
+  spell.until = spell.from + Millis(GENERATE(500, 2000));
+  SECTION("both are slow") {
+    spell.slowdown = 8;
+  }
+  SECTION("both fail a part") {
+    spell.failing = 0.5;
+  }
+  CAPTURE(spell.from.count(), spell.until.count());
+  int completed = 0;
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    RolloutFleet::Options options = WithTarget(VersionBehaviour(), seed);
+    options.spell = spell;
+    RolloutFleet fleet(options);
+    fleet.RunFor(Millis(2000));
+    fleet.Order();
+    fleet.RunFor(kLimit);
+    const bool in_time =
+        fleet.recorded && fleet.recorded->state == State::kCompleted;
+    if (!in_time) {
+      UNSCOPED_INFO("seed " << seed << ": " << fleet.last_reason);
+    }
+    completed += in_time ? 1 : 0;
+  }
+  CHECK(completed >= static_cast<int>(kSeeds) - 1);
+}
+
 TEST_CASE("a version that crashes its upstreams is completed", "[rollout]") {
   RolloutFleet fleet(WithTarget(VersionBehaviour(), 1));
   fleet.RunFor(Millis(2000));
