--- a/test/daemon-support.h
+++ b/test/daemon-support.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "test/fake-store.h"
@@ -131,12 +132,19 @@
            "." + std::to_string(1 + pid / kValues % kValues) + "." +
            std::to_string(1 + pid % kValues);
   }
-  /// Returns "IP:PORT" with a port that no other socket uses now.
+  /// Returns "IP:PORT" with a port that no other socket uses now, and that no
+  /// earlier call returned: who asked for that may not have bound it yet.
   std::string FindFreeAddress() {
+    static std::set<uint16_t> returned;
     const std::string ip = DaemonAddress();
-    tcp::acceptor acceptor(
-        context, tcp::endpoint(boost::asio::ip::make_address_v4(ip), 0));
-    return ip + ":" + std::to_string(acceptor.local_endpoint().port());
+    for (;;) {
+      const tcp::acceptor acceptor(
+          context, tcp::endpoint(boost::asio::ip::make_address_v4(ip), 0));
+      const uint16_t port = acceptor.local_endpoint().port();
+      if (returned.insert(port).second) {
+        return ip + ":" + std::to_string(port);
+      }
+    }
   }
 
   json MakeSettings() {
@@ -275,6 +283,18 @@
     return text.find("name=" + event) != std::string::npos;
   }
 
+  /// Returns the lines of the log that have `text`, to explain a failure.
+  std::string LoggedLines(const std::string& text) const {
+    std::ifstream log(LogPath());
+    std::string lines;
+    for (std::string line; std::getline(log, line);) {
+      if (line.find(text) != std::string::npos) {
+        lines += line + "\n";
+      }
+    }
+    return lines;
+  }
+
   /// Returns a caller whose request to `route` has reached an upstream.
   /// Repeats requests that are rejected, as the daemon does until it has read
   /// the configuration and the upstreams.
--- a/test/rollout-process-test.cc
+++ b/test/rollout-process-test.cc
@@ -179,7 +179,10 @@
   REQUIRE(fixture.RunForAnswers(kSomeAnswers));
   CHECK(fixture.View(0).empty());
   fixture.Order(15);
-  REQUIRE(fixture.RunUntil([&] { return fixture.HasState("reverted"); }));
+  const bool reverted =
+      fixture.RunUntil([&] { return fixture.HasState("reverted"); });
+  INFO(fixture.daemons[0]->LoggedLines("name=rollout_"));
+  REQUIRE(reverted);
   const json view = fixture.View(0);
   CHECK(view["state"] == "reverted");
   CHECK(view["decider"] == "front-1");
@@ -227,7 +230,10 @@
   RolloutFixture fixture(kOk);
   REQUIRE(fixture.RunForAnswers(kSomeAnswers));
   fixture.Order(8);
-  REQUIRE(fixture.RunUntil([&] { return fixture.HasState("completed"); }));
+  const bool completed =
+      fixture.RunUntil([&] { return fixture.HasState("completed"); });
+  INFO(fixture.daemons[0]->LoggedLines("name=rollout_"));
+  REQUIRE(completed);
   CHECK(fixture.Status()["to"] == 2);
   const size_t at_old = RolloutFixture::Seen(fixture.olds);
   CHECK(fixture.RunForAnswers(kSomeAnswers));
