Begin a roll-out's period anew when the fleet's counts fall

A data centre's counts are replaced by those of whichever delegate speaks for it, and one that has started since knows less. The periods are differences between sums, so after a fall nothing new was seen until the sum had grown back: a version that turned bad meanwhile kept its share.

When a side's sum falls, a period begins at the lower counts. The new test lets a version fail all of 27 requests after a fall: without the change it was not reverted, with it it is.

--- a/src/rollout/plan.cc
+++ b/src/rollout/plan.cc
@@ -49,10 +49,13 @@
 }
 
 void RolloutPlan::RecordPeriod(Millis now, const Counts& counts) {
-  if (periods_.empty() || now - periods_.back().begin >= kPeriod) {
-    if (!periods_.empty()) {
-      counted_before_ += periods_.back().counts;
-    }
+  // Another delegate of a data centre may know less of what it has done. What
+  // is counted from then on must not be taken for known already.
+  const bool fell = std::any_of(kSides.begin(), kSides.end(), [&](Side side) {
+    return counts.side(side).sent() < counted_.side(side).sent();
+  });
+  if (periods_.empty() || fell || now - periods_.back().begin >= kPeriod) {
+    counted_before_ = fell ? counts : counted_;
     periods_.push_back({now, now, {}});
     if (periods_.size() > kMaxPeriods) {
       JoinPeriods(now);
@@ -60,6 +63,7 @@
   }
   periods_.back().end = now;
   periods_.back().counts = counts.Since(counted_before_);
+  counted_ = counts;
 }
 
 void RolloutPlan::JoinPeriods(Millis now) {
--- a/src/rollout/plan.h
+++ b/src/rollout/plan.h
@@ -107,8 +107,9 @@
   State state_ = State::kRunning;
   /// The roll-out so far, the oldest first. The last one still grows.
   std::vector<Period> periods_;
-  /// What had been counted when the last period began.
+  /// What had been counted when the last period began, and last.
   Counts counted_before_;
+  Counts counted_;
 };
 
 }  // namespace dandelion::rollout
--- a/test/rollout-test.cc
+++ b/test/rollout-test.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <string>
 
+#include "rollout/plan.h"
 #include "rollout/verdict.h"
 #include "rollout/version_choice.h"
 #include "test/rollout-fleet.h"
@@ -144,6 +145,42 @@
   CHECK(completed >= static_cast<int>(kSeeds) - 1);
 }
 
+// Another delegate may speak for a data centre, and know only what its daemons
+// have done since they started.
+TEST_CASE("counts that fall hide what a version does from then on",
+          "[rollout]") {
+  const base::RouteName route("check");
+  Millis now(1000);
+  rollout::RolloutPlan plan(
+      {base::PoolName("pool"), base::SoftwareVersion("8"), kLimit, 0}, now,
+      rollout::ExposureBound());
+  rollout::Evidence evidence;
+  evidence.target_upstreams = 8;
+  const auto answer = [&](int64_t good_at_target, int64_t bad_at_target) {
+    auto& old = evidence.counts.side(rollout::Side::kOld).routes[route];
+    auto& target = evidence.counts.side(rollout::Side::kTarget).routes[route];
+    old.sent += 100;
+    old.answered += 90;
+    old.failed += 10;
+    target.sent += good_at_target + bad_at_target;
+    target.answered += good_at_target;
+    target.failed += bad_at_target;
+    now = now + Millis(600);
+    return plan.Next(now, evidence).state;
+  };
+  for (int i = 0; i < 10; ++i) {
+    REQUIRE(answer(27, 3) == State::kRunning);
+  }
+  evidence.counts = {};
+  CHECK(answer(1, 0) == State::kRunning);
+  State state = State::kRunning;
+  // No more than what it had failed before.
+  for (int i = 0; i < 3; ++i) {
+    state = answer(0, 9);
+  }
+  CHECK(state == State::kReverted);
+}
+
 TEST_CASE("a version that crashes its upstreams is completed", "[rollout]") {
   RolloutFleet fleet(WithTarget(VersionBehaviour(), 1));
   fleet.RunFor(Millis(2000));
