Disconnect no caller that takes its answer to make room for others

A stream that pauses between two events, after a large prompt, was reset when another large body arrived. What gives way is now asked first; a caller for which nothing waits stays, and what an idle one had not taken then no longer counts.

--- a/src/http/request_memory.cc
+++ b/src/http/request_memory.cc
@@ -51,7 +51,7 @@
 }
 
 RequestMemory::Share::Share(std::shared_ptr<RequestMemory> memory,
-                            std::function<void()> give_way)
+                            std::function<bool()> give_way)
     : memory_(std::move(memory)), give_way_(std::move(give_way)) {}
 
 RequestMemory::Share::~Share() {
@@ -91,9 +91,12 @@
 }
 
 void RequestMemory::Share::GiveWay() {
+  if (!give_way_()) {
+    Complete();
+    return;
+  }
   Release();
   gave_way_ = true;
-  give_way_();
 }
 
 }  // namespace dandelion::http
--- a/src/http/request_memory.h
+++ b/src/http/request_memory.h
@@ -12,12 +12,12 @@
 /// Bounds the memory that the requests of a server's callers and their answers
 /// take, from the first byte of a request until the caller has its answer.
 ///
-/// If there is no room for the next bytes, the arriving request or the answer
-/// under way that has taken most memory for longest gives way: the product of
-/// both decides, so that neither many bytes at once nor a slow trickle holds
-/// room for ever. It may be the one that asks. A request that has arrived does
-/// not give way until its answer begins. Some of the room is kept for small
-/// requests.
+/// If there is no room for the next bytes, the arriving request or the unread
+/// answer that has taken most memory for longest gives way: the product of both
+/// decides, so that neither many bytes at once nor a slow trickle holds room
+/// for ever. It may be the one that asks. A request that has arrived does not
+/// give way while its caller takes its answer. Some of the room is kept for
+/// small requests.
 class RequestMemory {
  public:
   class Share;
@@ -54,9 +54,9 @@
 class RequestMemory::Share {
  public:
   /// `give_way` is called when an arriving request has to be refused, or an
-  /// answer broken off, to make room for others. Its bytes no longer count
-  /// then.
-  Share(std::shared_ptr<RequestMemory> memory, std::function<void()> give_way);
+  /// unread answer broken off, to make room for others. It returns false if
+  /// nothing waits for the caller any more; else the bytes no longer count.
+  Share(std::shared_ptr<RequestMemory> memory, std::function<bool()> give_way);
   ~Share();
   Share(const Share&) = delete;
   Share& operator=(const Share&) = delete;
@@ -82,7 +82,7 @@
   void GiveWay();
 
   std::shared_ptr<RequestMemory> memory_;
-  std::function<void()> give_way_;
+  std::function<bool()> give_way_;
   base::Millis began_;
   size_t bytes_ = 0;
   bool gave_way_ = false;
--- a/src/http/session.cc
+++ b/src/http/session.cc
@@ -114,19 +114,22 @@
       waiting_since_(clock_.Now()),
       stream_(std::move(socket)),
       read_timer_(stream_.get_executor()),
-      memory_(std::move(memory), [this] { MakeRoomForOthers(); }) {}
+      memory_(std::move(memory), [this] { return MakeRoomForOthers(); }) {}
 
 // Refuses the request that is arriving, or resets the connection of a caller
-// that has not taken its answer.
-void Session::MakeRoomForOthers() {
+// that has not taken its answer. Returns false if it has by now.
+bool Session::MakeRoomForOthers() {
   if (!receiving_) {
-    // It may have taken the last answer since that was counted.
-    if (!busy_ && QueuedBytes() == 0) {
-      return;
+    if (QueuedBytes() == 0) {
+      if (!busy_) {
+        memory_.Release();
+      }
+      return false;
     }
     must_reset_ = true;
   }
   stream_.cancel();
+  return true;
 }
 
 bool Session::HoldAnswer(size_t bytes) {
--- a/src/http/session.h
+++ b/src/http/session.h
@@ -94,7 +94,7 @@
       boost::beast::http::request<boost::beast::http::string_body> message);
   void ReleaseRequest(Buffer& buffer);
   void ResetOnClose();
-  void MakeRoomForOthers();
+  bool MakeRoomForOthers();
   void HoldUnread();
   base::Task<void> WaitForever();
   /// Bytes that were written and that the caller has not taken yet.
--- a/src/rollout/verdict.cc
+++ b/src/rollout/verdict.cc
@@ -33,7 +33,7 @@
 
 // Answers of the old version that its usual rate counts as in each period.
 constexpr double kUsualAnswers = 2;
-// Times are measured in whole milliseconds. A difference of this many is none.
+// Times are whole milliseconds. A difference of this many is none.
 constexpr double kTimeErrorMs = 2;
 
 using Periods = std::vector<const Counts*>;
--- a/src/routing/upstream_choice.cc
+++ b/src/routing/upstream_choice.cc
@@ -7,8 +7,8 @@
 namespace dandelion::routing {
 namespace {
 
-// Times are measured in whole milliseconds, so 0 may be any time up to this. A
-// cost of 0 would hide how full an upstream is and how often it fails.
+// Times are whole milliseconds, so 0 may be any time up to this. A cost of 0
+// would hide how full an upstream is and how often it fails.
 constexpr double kLeastMs = 1;
 // Answer time that is assumed of a service whose speed is not known yet.
 constexpr double kDefaultAnswerMs = 20;
--- a/test/request-memory-test.cc
+++ b/test/request-memory-test.cc
@@ -24,9 +24,13 @@
 
   struct Arrival {
     explicit Arrival(MemoryFixture& fixture)
-        : share(fixture.memory, [this] { ++refusals; }) {
+        : share(fixture.memory, [this] {
+            refusals += holds_unread ? 1 : 0;
+            return holds_unread;
+          }) {
       share.Begin();
     }
+    bool holds_unread = true;
     int refusals = 0;
     RequestMemory::Share share;
   };
@@ -89,6 +93,23 @@
   CHECK(small.share.Resize(60 * kKibibyte));
 }
 
+TEST_CASE("a request whose answer was taken gives way or is not counted",
+          "[memory]") {
+  MemoryFixture fixture;
+  MemoryFixture::Arrival taken(fixture);
+  taken.holds_unread = false;
+  REQUIRE(taken.share.Resize(500 * kKibibyte));
+  MemoryFixture::Arrival unread(fixture);
+  REQUIRE(unread.share.Resize(300 * kKibibyte));
+  fixture.now = fixture.now + Millis(1000);
+  MemoryFixture::Arrival later(fixture);
+  CHECK(later.share.Resize(200 * kKibibyte));
+  CHECK(taken.refusals == 0);
+  CHECK(unread.refusals == 1);
+  CHECK(fixture.memory->used() == 700 * kKibibyte);
+  CHECK(taken.share.Resize(501 * kKibibyte));
+}
+
 TEST_CASE("memory is not returned", "[memory]") {
   MemoryFixture fixture;
   {
--- a/test/server-test.cc
+++ b/test/server-test.cc
@@ -6,6 +6,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
 #include <chrono>
@@ -82,8 +83,12 @@
 class ServerFixture {
  public:
   explicit ServerFixture(const http::ServerLimits& limits,
-                         http::ServerHooks hooks = {})
-      : server(context.get_executor(), limits, Answer, std::move(hooks)) {
+                         http::ServerHooks hooks = {},
+                         http::Handler handler = Answer)
+      : server(context.get_executor(),
+               limits,
+               std::move(handler),
+               std::move(hooks)) {
     REQUIRE(server.BindAndAccept(loopback_).ok());
   }
   ~ServerFixture() {
@@ -255,6 +260,69 @@
   CHECK(rejected == 1);
 }
 
+// The answer pauses, as a stream does between two events.
+TEST_CASE("a caller that takes its answer makes room for others", "[server]") {
+  constexpr size_t kRoom = 1'000'000;
+  constexpr std::chrono::milliseconds kPause(50);
+  http::ServerLimits limits;
+  limits.request_memory_bytes = kRoom;
+  bool resumed = false;
+  bool gone = false;
+  const auto handler = [&](http::Exchange& exchange) -> Task<void> {
+    if (exchange.request().target != "/paused") {
+      co_await Answer(exchange);
+      co_return;
+    }
+    exchange.OnCallerDisconnect([&gone] { gone = true; });
+    (void)co_await exchange.StartStream(http::Response());
+    (void)co_await exchange.Write("first");
+    while (!resumed && !gone) {
+      co_await base::SleepFor(Millis(5));
+    }
+    (void)co_await exchange.Write("second");
+    (void)co_await exchange.Finish();
+  };
+  ServerFixture fixture(limits, {}, handler);
+  const auto make_request = [](const std::string& target, size_t bytes) {
+    return "POST " + target + " HTTP/1.1\r\nHost: front.example\r\n" +
+           "Content-Length: " + std::to_string(bytes) + "\r\n\r\n" +
+           std::string(bytes, 'x');
+  };
+  tcp::socket caller = fixture.Connect();
+  const std::string request = make_request("/paused", kRoom / 2);
+  boost::asio::async_write(caller, boost::asio::buffer(request),
+                           [](boost::system::error_code, size_t) {});
+  std::string received;
+  const auto read_until = [&](const std::string& text) {
+    bool done = false;
+    boost::asio::async_read_until(
+        caller, boost::asio::dynamic_buffer(received), text,
+        [&done](boost::system::error_code, size_t) { done = true; });
+    fixture.RunUntil([&done] { return done; });
+    return received.find(text) != std::string::npos;
+  };
+  REQUIRE(read_until("first"));
+  const auto paused_until = std::chrono::steady_clock::now() + kPause;
+  fixture.RunUntil([paused_until] {
+    return std::chrono::steady_clock::now() > paused_until;
+  });
+  // There is no room for this one while the other is answered.
+  tcp::socket other = fixture.Connect();
+  const std::string large = make_request("/", kRoom / 2);
+  boost::asio::async_write(other, boost::asio::buffer(large),
+                           [](boost::system::error_code, size_t) {});
+  std::string answer;
+  bool answered = false;
+  boost::asio::async_read_until(
+      other, boost::asio::dynamic_buffer(answer), "\r\n",
+      [&answered](boost::system::error_code, size_t) { answered = true; });
+  fixture.RunUntil([&answered] { return answered; });
+  resumed = true;
+  CHECK(read_until("second"));
+  CHECK_FALSE(gone);
+  CHECK(answer.starts_with("HTTP/1.1 503"));
+}
+
 TEST_CASE("callers that arrive together are accepted together", "[server]") {
   constexpr int kCallers = 30;
   int accepted = 0;
