--- a/test/daemon-support.h
+++ b/test/daemon-support.h
@@ -109,18 +109,23 @@
             {"backend", pool}};
   }
 
+  static json MakeUpstreamEntry(const std::string& pool,
+                                const tcp::endpoint& address,
+                                int slots) {
+    return {
+        {"backend", pool},
+        {"addr", std::string(kLoopback) + ":" + std::to_string(address.port())},
+        {"zone", "dc-a"},
+        {"slots", slots},
+        {"state", "ready"},
+        {"cold-left-ms", 0},
+        {"seq", 1},
+        {"born", 1}};
+  }
   static json MakeUpstreamEntry(const std::string& pool,
                                 const FakeUpstream& upstream,
                                 int slots) {
-    return {{"backend", pool},
-            {"addr", std::string(kLoopback) + ":" +
-                         std::to_string(upstream.address().port())},
-            {"zone", "dc-a"},
-            {"slots", slots},
-            {"state", "ready"},
-            {"cold-left-ms", 0},
-            {"seq", 1},
-            {"born", 1}};
+    return MakeUpstreamEntry(pool, upstream.address(), slots);
   }
 
   /// A loopback address of this process alone: neither daemons of other test
--- a/test/forward-support.cc
+++ b/test/forward-support.cc
@@ -35,6 +35,16 @@
   *response = std::move(result.response);
 }
 
+// Reads until the peer ends the connection.
+Task<void> ReadToEnd(tcp::socket& socket) {
+  std::string bytes(kMaxRequestBytes, '\0');
+  boost::system::error_code error;
+  while (!error) {
+    std::tie(error, std::ignore) = co_await socket.async_read_some(
+        boost::asio::buffer(bytes), base::kNoThrow);
+  }
+}
+
 }  // namespace
 
 FakeUpstream::FakeUpstream(const base::Executor& executor,
@@ -84,6 +94,12 @@
   if (answer.held) {
     co_await base::SleepOnTimer(held_, kLongHold);
   }
+  if (answer.shut_down) {
+    socket.shutdown(tcp::socket::shutdown_send);
+  }
+  if (answer.read_rest) {
+    co_await ReadToEnd(socket);
+  }
   if (answer.reset) {
     // The destructor would not reset it.
     socket.set_option(boost::asio::socket_base::linger(true, 0));
@@ -104,11 +120,7 @@
   }
   if (!answer.repeated.empty()) {
     // Sends nothing more, but does not end the answer either.
-    boost::system::error_code error;
-    while (!error) {
-      std::tie(error, std::ignore) = co_await socket.async_read_some(
-          boost::asio::buffer(request), base::kNoThrow);
-    }
+    co_await ReadToEnd(socket);
   }
 }
 
--- a/test/forward-support.h
+++ b/test/forward-support.h
@@ -37,7 +37,13 @@
   std::string repeated = "";
   /// Pause between two writes of `repeated`.
   base::Millis pause{0};
-  /// Resets the connection after `bytes`, in place of closing it.
+  /// Ends its own direction of the connection after `bytes`, so that they are
+  /// whole whatever becomes of the other one.
+  bool shut_down = false;
+  /// Reads until the peer ends its direction, before this one is closed.
+  bool read_rest = false;
+  /// Resets the connection after `bytes`, in place of closing it. Closing it
+  /// while bytes of the request are unread resets it, too.
   bool reset = false;
   /// Keeps the connection open after `bytes` until `EndHeld`.
   bool held = false;
--- a/test/raw-bytes-support.h
+++ b/test/raw-bytes-support.h
@@ -46,7 +46,7 @@
   const auto result = std::make_shared<std::optional<T>>();
   base::Spawn(fixture.executor(), StoreResult(std::move(task), result));
   fixture.RunUntil([&result] { return result->has_value(); });
-  return *result;
+  return std::move(*result);
 }
 
 }  // namespace dandelion::test
