Take no status outside 100 to 599 for an answer

Cause: the parser takes any three digits for a status code, and nothing after it looked. Beyond the answers of upstreams, the same reader let status 000 count as a reachable upstream (load reports), as an engine's refusal that proves that nothing ran (engine client), and as a success (dandelionctl send).

Why this works: all answers are read by Connection::ReadHead, which now fails for such a status (RFC 9110, section 15). To a request this is a send that broke: another upstream is asked where the request may run twice, else its caller gets 502, and nothing says that it did not run.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -47,9 +47,12 @@
          error == asio::error::connection_reset;
 }
 
+// The status codes that there are (RFC 9110, section 15), known or not. The
+// parser takes any three digits for one.
+constexpr unsigned kFirstStatus = 100;
+constexpr unsigned kLastStatus = 599;
 // Interim responses (RFC 9110, section 15.2) precede the answer.
-constexpr unsigned kStatusClass = 100;
-constexpr unsigned kInterimClass = 1;
+constexpr unsigned kFirstFinalStatus = 200;
 constexpr unsigned kSwitchingProtocols = 101;
 // Interim responses that may precede one answer.
 constexpr int kMaxInterimHeads = 8;
@@ -100,26 +103,15 @@
         ended_by_peer_ = parser_->got_some() && IsEndByPeer(error);
         co_return ConnectionError(endpoint_, error);
       }
-      const unsigned status = parser_->get().result_int();
-      if (status / kStatusClass != kInterimClass) {
-        break;
+      const absl::Status sound = CheckHead(interim_heads);
+      if (!sound.ok()) {
+        co_return sound;
       }
-      if (status == kSwitchingProtocols || interim_heads == kMaxInterimHeads) {
-        co_return MakeError(
-            ErrorKind::kBadAnswer,
-            absl::StrCat(EndpointText(endpoint_),
-                         ": an interim response takes the place of an answer"),
-            "check that the peer speaks HTTP/1.1");
+      if (parser_->get().result_int() >= kFirstFinalStatus) {
+        co_return TakeHead();
       }
       ResetParser();
     }
-    Response head;
-    head.status = parser_->get().result_int();
-    for (const auto& field : parser_->get()) {
-      head.headers.Add(std::string(field.name_string()),
-                       std::string(field.value()));
-    }
-    co_return head;
   }
 
   Task<absl::StatusOr<std::string_view>> ReadSome(Millis timeout) override {
@@ -183,6 +175,38 @@
     response_complete_ = false;
   }
 
+  // Whether the head that was read is an answer's or an interim one, after
+  // `interim_heads` of those. The parser takes more than HTTP allows.
+  absl::Status CheckHead(int interim_heads) const {
+    const unsigned status = parser_->get().result_int();
+    if (status < kFirstStatus || status > kLastStatus) {
+      return BadAnswer(absl::StrCat("the status is no status code: ", status));
+    }
+    if (status >= kFirstFinalStatus) {
+      return absl::OkStatus();
+    }
+    if (status == kSwitchingProtocols || interim_heads == kMaxInterimHeads) {
+      return BadAnswer("an interim response takes the place of an answer");
+    }
+    return absl::OkStatus();
+  }
+
+  Response TakeHead() const {
+    Response head;
+    head.status = parser_->get().result_int();
+    for (const auto& field : parser_->get()) {
+      head.headers.Add(std::string(field.name_string()),
+                       std::string(field.value()));
+    }
+    return head;
+  }
+
+  absl::Status BadAnswer(absl::string_view reason) const {
+    return MakeError(ErrorKind::kBadAnswer,
+                     absl::StrCat(EndpointText(endpoint_), ": ", reason),
+                     "check that the peer speaks HTTP/1.1");
+  }
+
   void SetTimeout(Millis timeout) {
     stream_.expires_after(std::chrono::milliseconds(timeout.count()));
   }
--- a/test/broken-answers-places-test.cc
+++ b/test/broken-answers-places-test.cc
@@ -27,6 +27,148 @@
 
 // The other places where answers are read.
 
+/// Heads that are broken, one of each kind.
+std::vector<std::string> BrokenHeads() {
+  return {AnswerWithStatusLine("HTTP/1.1 000 OK", ""),
+          AnswerWithLine("X Bad: 1", true, "")};
+}
+
+TEST_CASE("a broken answer is repeated where that is allowed", "[answers]") {
+  const std::string head = GENERATE(from_range(BrokenHeads()));
+  ForwardFixture fixture;
+  PublishRetryableRoute(fixture, RequestKind::kIdempotent);
+  const RawUpstream& first =
+      fixture.AddRawUpstream("u-1", "draft", head + "abc");
+  fixture.AddUpstream("u-2", "draft", RespondWithAnswer);
+  const routing::LoadReservation busy(fixture.loads, base::UpstreamId("u-2"),
+                                      {1, 5000, 0, 0});
+  const auto response =
+      fixture.SendRequest(CallerRequestFor("draft", "r-1", kLongTime));
+  REQUIRE(response.ok());
+  CHECK(response->status == 200);
+  CHECK(response->body != "abc");
+  CHECK(first.connections() == 1);
+}
+
+TEST_CASE("a broken answer to the resumption of a stream is not passed on",
+          "[answers]") {
+  const std::string head = GENERATE(from_range(BrokenHeads()));
+  CAPTURE(head);
+  ForwardFixture fixture;
+  PublishRetryableRoute(fixture, RequestKind::kGeneration);
+  fixture.AddRawUpstream(
+      "u-1", "draft",
+      RawHead("r-1", kChunked) + "f\r\n" + EventText(1) + "\r\n");
+  const RawUpstream& second =
+      fixture.AddRawUpstream("u-2", "draft", head + EventsUpTo(3));
+  const routing::LoadReservation busy(fixture.loads, base::UpstreamId("u-2"),
+                                      {1, 5000, 0, 0});
+  CHECK_FALSE(
+      fixture.SendRequest(CallerRequestFor("draft", "r-1", kLongTime)).ok());
+  CHECK(second.connections() == 1);
+}
+
+TEST_CASE("a broken answer fails a fetch and is no proof that nothing was sent",
+          "[answers]") {
+  const std::string head = GENERATE(from_range(BrokenHeads()));
+  CAPTURE(head);
+  ForwardFixture fixture;
+  const RawUpstream upstream(fixture.executor(), {head + "abc"});
+  http::Client client;
+  const auto result =
+      RunTask(fixture, client.Fetch(upstream.address(), http::Request(), {}));
+  REQUIRE(result);
+  CHECK_FALSE(result->response.ok());
+  CHECK(result->may_have_been_sent);
+}
+
+TEST_CASE("a broken answer of the store is an error", "[answers]") {
+  const std::string head = GENERATE(from_range(BrokenHeads()));
+  CAPTURE(head);
+  ForwardFixture fixture;
+  const RawUpstream upstream(fixture.executor(),
+                             {head + "{\"end\": 1, \"items\": []}"});
+  http::Client client;
+  platform::StoreClient store(client,
+                              [&upstream] { return upstream.address(); });
+  const auto update =
+      RunTask(fixture, store.ReadNewest(store::Topic::kOperator));
+  REQUIRE(update);
+  CHECK_FALSE(update->ok());
+}
+
+TEST_CASE("a broken report shows no upstream that is reachable", "[answers]") {
+  const std::string head = GENERATE(from_range(BrokenHeads()));
+  CAPTURE(head);
+  ForwardFixture fixture;
+  const RawUpstream upstream(fixture.executor(), {head + "{}"});
+  http::Client client;
+  platform::HttpEngineControl control(client);
+  const auto report =
+      RunTask(fixture, control.FetchEngineReport(upstream.address()));
+  REQUIRE(report);
+  CHECK_FALSE(report->ok());
+  http::ConnectionGroup streams;
+  upstream::EngineClient engines(client, streams, base::HostId("h-1"));
+  const auto load =
+      RunTask(fixture, engines.FetchLoadReport(upstream.address()));
+  REQUIRE(load);
+  CHECK_FALSE(load->ok());
+}
+
+TEST_CASE("a broken answer of an engine is no refusal", "[answers]") {
+  const std::string head = GENERATE(from_range(BrokenHeads()));
+  CAPTURE(head);
+  ForwardFixture fixture;
+  const RawUpstream upstream(
+      fixture.executor(), {std::string(head).insert(head.find("\r\n") + 2,
+                                                    "X-Request-Id: r-1\r\n") +
+                           "id: 0\ndata: {\"text\": \"a\"}\n\n"});
+  http::Client client;
+  http::ConnectionGroup streams;
+  upstream::EngineClient engines(client, streams, base::HostId("h-1"));
+  upstream::GenerationRequest request;
+  request.request = base::RequestId("r-1");
+  const auto opened =
+      RunTask(fixture, engines.Start(upstream.address(), std::move(request)));
+  REQUIRE(opened);
+  CHECK_FALSE(opened->stream.ok());
+  // What was not rejected may run, so that it is not sent again blindly.
+  CHECK_FALSE(opened->rejected);
+  CHECK(opened->may_have_been_sent);
+}
+
+TEST_CASE("a broken answer of a daemon is an error for its operator",
+          "[answers]") {
+  const std::string head = GENERATE(from_range(BrokenHeads()));
+  CAPTURE(head);
+  ForwardFixture fixture;
+  const RawUpstream daemon(fixture.executor(),
+                           {head + "data: abc\n\ndata: [DONE]\n\n"});
+  const std::string address =
+      std::string(kLoopback) + ":" + std::to_string(daemon.address().port());
+  std::vector<std::string> command = {DANDELION_BUILD "/dandelionctl",
+                                      "send",
+                                      "--to",
+                                      address,
+                                      "--organisation",
+                                      "o-1"};
+  // A stream is asked for up to 20 times, so this is tried with one head.
+  if (head == BrokenHeads().front() && GENERATE(false, true)) {
+    command.insert(command.end(), {"--prompt", "question", "--stream"});
+  } else {
+    command.insert(command.end(), {"--path", "/write/1", "--body", "{}"});
+  }
+  const std::string output_path = std::tmpnam(nullptr);
+  DaemonProcess tool(std::move(command), "", output_path);
+  REQUIRE(fixture.RunUntil([&tool] { return tool.ExitCode().has_value(); }));
+  CHECK(tool.ExitCode() == 1);
+  std::ifstream file(output_path);
+  const std::string output(std::istreambuf_iterator<char>(file), {});
+  CHECK(output.find("abc") == std::string::npos);
+  std::remove(output_path.c_str());
+}
+
 // A daemon as a process of its own, whose reads and writes happen while the
 // upstream's do.
 
@@ -99,6 +241,21 @@
 
 constexpr int kUploads = 6;
 
+TEST_CASE("a daemon process passes no broken answer to an upload on",
+          "[answers]") {
+  RawAnswer answer{RawHead("r-1", kUnframed) + "part"};
+  SECTION("its status is none") {
+    answer.bytes = AnswerWithStatusLine("HTTP/1.1 000 OK", "part");
+    answer.read_rest = true;
+  }
+  DaemonFixture fixture(answer);
+  for (int i = 0; i < kUploads; ++i) {
+    const std::string received = fixture.Upload();
+    CHECK(received.starts_with("HTTP/1.1 502 "));
+    CHECK(received.find("part") == std::string::npos);
+  }
+}
+
 TEST_CASE("a daemon process passes early answers that are whole on",
           "[answers]") {
   RawAnswer answer{RawHead("r-1", kUnframed) + "whole"};
--- a/test/broken-answers-test.cc
+++ b/test/broken-answers-test.cc
@@ -15,6 +15,16 @@
 const std::vector<std::string> kNoStatusCodes = {"000", "001", "099", "600",
                                                  "999"};
 
+TEST_CASE("an answer whose status is none is not passed on", "[answers]") {
+  const RequestKind kind = GENERATE(from_range(kKinds));
+  const std::string status = GENERATE(from_range(kNoStatusCodes));
+  CAPTURE(status);
+  AnswerFixture fixture(kind);
+  CheckRefused(fixture.Pass(
+      {AnswerWithStatusLine("HTTP/1.1 " + status + " OK", WholeBody(kind))}));
+  CHECK(fixture.health.FailureRate(base::UpstreamId("u-1")) > 0);
+}
+
 TEST_CASE("an answer with a malformed status line is not passed on",
           "[answers]") {
   const RequestKind kind = GENERATE(from_range(kKinds));
@@ -56,6 +66,13 @@
   CHECK_FALSE(response->headers.Has("Link"));
 }
 
+TEST_CASE("an interim head whose status is none is no interim head",
+          "[answers]") {
+  AnswerFixture fixture(RequestKind::kNonIdempotent);
+  CheckRefused(
+      fixture.Pass({"HTTP/1.1 000 \r\n\r\n" + RawAnswerTo("r-1", "whole")}));
+}
+
 // Field lines.
 
 /// Lines whose field name is no token (RFC 9110, section 5.6.2).
