Don't take a reset during an upload for the end of an answer

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being written.

Cause: the system tells that a connection was lost once, to the call that comes first. Here that was the write of the upload, whose result nobody looked at once there was a head. Reads then return what had arrived and an end like that of a connection that was closed, which ends a body without a length. A reset that a read is told of was an error before. Closing a connection with unread bytes of the upload resets it as well, so a server that ends by itself is enough.

Why this works: the connection remembers that it was lost in a write, and the end of its bytes is then no end of a body that has none of its own. Reads are the one place where such an end is seen, for plain requests, streams, and answers to other requests that are skipped. A length or chunks still tell that a body is whole. So does the server's own end: on a connection that it had ended before it was reset, Linux reports a broken pipe, not a reset, so an early answer without a length that is whole stays served.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -47,6 +47,15 @@
          error == asio::error::connection_reset;
 }
 
+// Whether a failed write shows that the connection was lost. The system tells a
+// loss once, to the call that comes first: if that was a write, reads return
+// what had arrived and then an end that looks like the peer's own. If the peer
+// had ended its side before it refused to read on, Linux reports a broken pipe
+// in place of a reset (tcp_reset in net/ipv4/tcp_input.c).
+bool IsLoss(const boost::system::error_code& write_error) {
+  return write_error != asio::error::broken_pipe;
+}
+
 // The status codes that there are (RFC 9110, section 15), known or not. The
 // parser takes any three digits for one.
 constexpr unsigned kFirstStatus = 100;
@@ -86,6 +95,7 @@
     const auto [error, size] =
         co_await bhttp::async_write(stream_, message, kNoThrow);
     if (error) {
+      lost_in_write_ = IsLoss(error);
       co_return ConnectionError(endpoint_, error);
     }
     co_return absl::OkStatus();
@@ -133,6 +143,10 @@
         co_return std::string_view(read_buffer_.data(), received);
       }
     }
+    if (lost_in_write_ && parser_->need_eof()) {
+      ended_by_peer_ = true;
+      co_return ConnectionError(endpoint_, asio::error::connection_reset);
+    }
     response_complete_ = true;
     co_return std::string_view();
   }
@@ -220,6 +234,9 @@
   bool may_have_been_sent_ = false;
   bool response_complete_ = false;
   bool ended_by_peer_ = false;
+  // The connection was lost while the request was sent, so that the end of its
+  // bytes is not the end of an answer.
+  bool lost_in_write_ = false;
 };
 
 Task<absl::StatusOr<Response>> SendAndReadResponse(Connection& connection,
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -40,7 +40,8 @@
       base::Millis timeout) = 0;
   /// Reads the next bytes of the body; an empty view marks its end. The view is
   /// valid until the next read. Fails if no byte of the body arrives within
-  /// `timeout`.
+  /// `timeout`, or if the connection was lost, also while the request was sent,
+  /// before the end of the body.
   virtual base::Task<absl::StatusOr<std::string_view>> ReadSome(
       base::Millis timeout) = 0;
   /// Whether the body of the response has neither a length nor chunks, so that
--- a/test/broken-answers-places-test.cc
+++ b/test/broken-answers-places-test.cc
@@ -244,6 +244,10 @@
 TEST_CASE("a daemon process passes no broken answer to an upload on",
           "[answers]") {
   RawAnswer answer{RawHead("r-1", kUnframed) + "part"};
+  SECTION("it is reset while the upload is written") {
+    answer.reset = true;
+  }
+  SECTION("its server closes the connection while the upload is written") {}
   SECTION("its status is none") {
     answer.bytes = AnswerWithStatusLine("HTTP/1.1 000 OK", "part");
     answer.read_rest = true;
