Refuse answers in a transfer coding that nothing here undoes

What callers would see: the bytes of a body that an upstream has encoded for the way (gzip), or the size lines of chunks within chunks, as a 200 with a body that is not the server's.

Cause: the parser undoes chunks only if "chunked" is the last coding, and ignores all others. Transfer-Encoding is then removed as the header of a hop, and the rest is passed on up to the connection's end, to a Content-Length that does not count, or to the last chunk. It also takes chunks in HTTP/1.0, where framing that has them is faulty.

Why this works: no request here names a coding that may be used, so a server that keeps to the protocol uses chunks or none; everything else fails at ReadHead, where all answers are read, as bytes that are no answer.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -7,7 +7,10 @@
 #include <sstream>
 #include <utility>
 
+#include "absl/strings/ascii.h"
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
 #include "base/error.h"
 #include "http/connection_group.h"
 
@@ -65,6 +68,10 @@
 constexpr unsigned kSwitchingProtocols = 101;
 // Interim responses that may precede one answer.
 constexpr int kMaxInterimHeads = 8;
+// The only transfer coding that is undone here, and the first version that has
+// it.
+constexpr char kChunked[] = "chunked";
+constexpr unsigned kHttp11 = 11;
 
 class BeastConnection : public Connection {
  public:
@@ -197,7 +204,9 @@
       return BadAnswer(absl::StrCat("the status is no status code: ", status));
     }
     if (status >= kFirstFinalStatus) {
-      return absl::OkStatus();
+      return HasKnownTransferCoding()
+                 ? absl::OkStatus()
+                 : BadAnswer("the answer is in an unknown transfer coding");
     }
     if (status == kSwitchingProtocols || interim_heads == kMaxInterimHeads) {
       return BadAnswer("an interim response takes the place of an answer");
@@ -205,6 +214,26 @@
     return absl::OkStatus();
   }
 
+  // Whether the body is in no transfer coding, or in chunks alone. The parser
+  // would return the bytes of any other as they are, up to the connection's
+  // end, to a length that does not count then, or to the last chunk (RFC 9112,
+  // section 6.3).
+  bool HasKnownTransferCoding() const {
+    const auto& message = parser_->get();
+    const auto [first, last] =
+        message.equal_range(bhttp::field::transfer_encoding);
+    if (first == last) {
+      return true;
+    }
+    const std::string list(first->value());
+    const std::vector<absl::string_view> codings =
+        absl::StrSplit(list, ',', absl::SkipWhitespace());
+    return std::next(first) == last && message.version() == kHttp11 &&
+           parser_->chunked() && codings.size() == 1 &&
+           absl::EqualsIgnoreCase(absl::StripAsciiWhitespace(codings.front()),
+                                  kChunked);
+  }
+
   Response TakeHead() const {
     Response head;
     head.status = parser_->get().result_int();
--- a/test/broken-answers-places-test.cc
+++ b/test/broken-answers-places-test.cc
@@ -30,7 +30,8 @@
 /// Heads that are broken, one of each kind.
 std::vector<std::string> BrokenHeads() {
   return {AnswerWithStatusLine("HTTP/1.1 000 OK", ""),
-          AnswerWithLine("X Bad: 1", true, "")};
+          AnswerWithLine("X Bad: 1", true, ""),
+          RawHead("r-1", "Transfer-Encoding: gzip\r\n")};
 }
 
 TEST_CASE("a broken answer is repeated where that is allowed", "[answers]") {
--- a/test/broken-answers-test.cc
+++ b/test/broken-answers-test.cc
@@ -140,6 +140,47 @@
 
 // How a body ends.
 
+TEST_CASE("an answer in a transfer coding that is not undone is not passed on",
+          "[answers]") {
+  const RequestKind kind = GENERATE(from_range(kKinds));
+  const std::string framing = GENERATE(
+      as<std::string>(), "Transfer-Encoding: gzip\r\n",
+      "Transfer-Encoding: identity\r\n", "Transfer-Encoding: \r\n",
+      "Transfer-Encoding: chunked, gzip\r\n",
+      "Transfer-Encoding: chunked, chunked\r\n",
+      "Transfer-Encoding: xchunked\r\n", "Transfer-Encoding: \"chunked\"\r\n",
+      "Transfer-Encoding: gzip\r\nContent-Length: 3\r\n",
+      "Content-Length: 3\r\nTransfer-Encoding: gzip\r\n");
+  CAPTURE(framing);
+  AnswerFixture fixture(kind);
+  CheckRefused(fixture.Pass({RawHead("r-1", framing) + WholeBody(kind)}));
+}
+
+TEST_CASE("a chunked answer in another transfer coding is not passed on",
+          "[answers]") {
+  const RequestKind kind = GENERATE(from_range(kKinds));
+  const std::string framing =
+      GENERATE(as<std::string>(), "Transfer-Encoding: gzip, chunked\r\n",
+               "Transfer-Encoding: chunked;q=1\r\n",
+               "Transfer-Encoding: gzip;q=\"a\", chunked\r\n",
+               "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+               "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+               "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n",
+               "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n",
+               "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n");
+  CAPTURE(framing);
+  AnswerFixture fixture(kind);
+  CheckRefused(fixture.Pass(
+      {RawHead("r-1", framing) + "f\r\n" + EventText(1) + "\r\n0\r\n\r\n"}));
+}
+
+TEST_CASE("an HTTP/1.0 answer in chunks is not passed on", "[answers]") {
+  AnswerFixture fixture(RequestKind::kNonIdempotent);
+  std::string answer = RawHead("r-1", kChunked) + "3\r\nabc\r\n0\r\n\r\n";
+  answer.replace(answer.find("1.1"), 3, "1.0");
+  CheckRefused(fixture.Pass({answer}));
+}
+
 TEST_CASE("an answer with a malformed length is not passed on", "[answers]") {
   const std::string length =
       GENERATE(as<std::string>(), "", "-3", "+3", "3.0", "0x3", "3 3", "3;3",
