Refuse answers with a line in their head that begins with a blank

If the name was that of a length or a transfer coding, the body was read without it, up to the connection's end.

Cause: the parser takes such a line for the rest of a folded value, as HTTP once allowed. No server may send that now, and a proxy has to refuse it with 502 or to put a blank in its place (RFC 9112, section 5.2); in an answer of a server in trouble nothing tells a fold from a name.

Names with a blank or a control byte elsewhere were refused before.

Why this works: heads are now handed to the parser here, in the same steps, so that the lines it takes can be looked at. The limits of a head, its time and the errors of its end are as before.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -73,6 +73,15 @@
 constexpr char kChunked[] = "chunked";
 constexpr unsigned kHttp11 = 11;
 
+// Whether one of the lines of a head begins with a blank. The parser takes it
+// for the rest of the value before, as HTTP once allowed. No server may send
+// that now, and a proxy may refuse it (RFC 9112, section 5.2): a name that
+// follows a blank, even that of a length, would be passed on within a value.
+bool HasFoldedLine(std::string_view lines) {
+  return lines.find("\r\n ") != std::string_view::npos ||
+         lines.find("\r\n\t") != std::string_view::npos;
+}
+
 class BeastConnection : public Connection {
  public:
   BeastConnection(tcp::endpoint endpoint, beast::tcp_stream stream)
@@ -114,8 +123,7 @@
     }
     SetTimeout(timeout);
     for (int interim_heads = 0;; ++interim_heads) {
-      const auto [error, size] = co_await bhttp::async_read_header(
-          stream_, buffer_, *parser_, kNoThrow);
+      const boost::system::error_code error = co_await ReadAnyHead();
       if (error) {
         ended_by_peer_ = parser_->got_some() && IsEndByPeer(error);
         co_return ConnectionError(endpoint_, error);
@@ -194,11 +202,46 @@
     parser_->body_limit(boost::none);
     parser_->skip(skip_body_);
     response_complete_ = false;
+    has_folded_line_ = false;
+  }
+
+  // Reads a head, interim or not, into the parser.
+  Task<boost::system::error_code> ReadAnyHead() {
+    for (;;) {
+      boost::system::error_code error;
+      const size_t parsed = parser_->put(buffer_.cdata(), error);
+      has_folded_line_ =
+          has_folded_line_ ||
+          HasFoldedLine(
+              {static_cast<const char*>(buffer_.cdata().data()), parsed});
+      buffer_.consume(parsed);
+      if (parser_->is_header_done() ||
+          (error && error != bhttp::error::need_more)) {
+        co_return error;
+      }
+      const size_t room = beast::read_size(buffer_, kReadBufferBytes);
+      if (room == 0) {
+        co_return bhttp::error::buffer_overflow;
+      }
+      const auto [read_error, size] =
+          co_await stream_.async_read_some(buffer_.prepare(room), kNoThrow);
+      buffer_.commit(size);
+      if (read_error == asio::error::eof) {
+        co_return parser_->got_some() ? bhttp::error::partial_message
+                                      : bhttp::error::end_of_stream;
+      }
+      if (read_error) {
+        co_return read_error;
+      }
+    }
   }
 
   // Whether the head that was read is an answer's or an interim one, after
   // `interim_heads` of those. The parser takes more than HTTP allows.
   absl::Status CheckHead(int interim_heads) const {
+    if (has_folded_line_) {
+      return BadAnswer("a line of the answer's head begins with a blank");
+    }
     const unsigned status = parser_->get().result_int();
     if (status < kFirstStatus || status > kLastStatus) {
       return BadAnswer(absl::StrCat("the status is no status code: ", status));
@@ -269,6 +312,7 @@
   bool may_have_been_sent_ = false;
   bool response_complete_ = false;
   bool ended_by_peer_ = false;
+  bool has_folded_line_ = false;
   // The connection was lost while the request was sent, so that the end of its
   // bytes is not the end of an answer.
   bool lost_in_write_ = false;
--- a/test/broken-answers-places-test.cc
+++ b/test/broken-answers-places-test.cc
@@ -31,7 +31,8 @@
 std::vector<std::string> BrokenHeads() {
   return {AnswerWithStatusLine("HTTP/1.1 000 OK", ""),
           AnswerWithLine("X Bad: 1", true, ""),
-          RawHead("r-1", "Transfer-Encoding: gzip\r\n")};
+          RawHead("r-1", "Transfer-Encoding: gzip\r\n"),
+          AnswerWithLine(" X-Bad: 1", false, "")};
 }
 
 TEST_CASE("a broken answer is repeated where that is allowed", "[answers]") {
--- a/test/broken-answers-test.cc
+++ b/test/broken-answers-test.cc
@@ -110,6 +110,18 @@
   CheckRefused(fixture.Pass({AnswerWithLine(line, first, WholeBody(kind))}));
 }
 
+TEST_CASE("an answer with a field name after a blank is not passed on",
+          "[answers]") {
+  const RequestKind kind = GENERATE(from_range(kKinds));
+  const bool first = GENERATE(true, false);
+  const std::string line = GENERATE(
+      as<std::string>(), " X-Bad: 1", "\tX-Bad: 1", "  Content-Length: 3",
+      " Transfer-Encoding: chunked", " ", "X-Good:\r\n 1");
+  CAPTURE(line, first);
+  AnswerFixture fixture(kind);
+  CheckRefused(fixture.Pass({AnswerWithLine(line, first, WholeBody(kind))}));
+}
+
 TEST_CASE("an answer with a control byte in a value is not passed on",
           "[answers]") {
   const bool first = GENERATE(true, false);
