Don't give a stream the length of an answer that may break off

What callers would see: a stream whose engine names a Content-Length and breaks off is resumed at another engine, whose events may be shorter or longer. The caller then waits for bytes that never come, or takes the rest for the start of its next answer.

Cause: the head of the first engine's answer was passed on with the length of a body that only that engine would have sent.

Evidence: forward-test [answers] on the code before: both cases of "a resumed stream does not have the length of the answer before" failed, one without an end, one with its last event cut.

Why this works: streams are passed on in chunks whatever their engine's framing is, so that only their real end ends them.

--- a/src/http/message.cc
+++ b/src/http/message.cc
@@ -22,6 +22,12 @@
   lines_.push_back(Header{std::move(name), std::move(value)});
 }
 
+void Headers::Remove(std::string_view name) {
+  std::erase_if(lines_, [name](const Header& line) {
+    return HeaderNamesEqual(line.name, name);
+  });
+}
+
 std::string_view Headers::Find(std::string_view name) const {
   for (const Header& line : lines_) {
     if (HeaderNamesEqual(line.name, name)) {
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -22,6 +22,8 @@
 class Headers {
  public:
   void Add(std::string name, std::string value);
+  /// Removes all header lines named `name`, ignoring case.
+  void Remove(std::string_view name);
   /// The first value of the header `name`, ignoring case; empty if absent.
   std::string_view Find(std::string_view name) const;
   /// Whether there is a header `name`, ignoring case.
--- a/src/relay/plain_forward.cc
+++ b/src/relay/plain_forward.cc
@@ -70,13 +70,9 @@
                                     std::string body) {
   http::Response response;
   response.status = head.status;
-  const http::Headers kept = http::WithoutHopByHopHeaders(head.headers);
-  for (const http::Header& line : kept.lines()) {
-    // Content-Length is set again from the body.
-    if (!http::HeaderNamesEqual(line.name, "Content-Length")) {
-      response.headers.Add(line.name, line.value);
-    }
-  }
+  response.headers = http::WithoutHopByHopHeaders(head.headers);
+  // It is set again from the body.
+  response.headers.Remove("Content-Length");
   response.body = std::move(body);
   return response;
 }
--- a/src/relay/stream_forward.cc
+++ b/src/relay/stream_forward.cc
@@ -405,6 +405,9 @@
     http::Response head;
     head.status = reply.head.status;
     head.headers = http::WithoutHopByHopHeaders(reply.head.headers);
+    // If the stream breaks, another engine's events complete it, and their
+    // length is not known.
+    head.headers.Remove("Content-Length");
     co_return co_await call_->exchange.StartStream(std::move(head));
   }
 
--- a/test/broken-answers-places-test.cc
+++ b/test/broken-answers-places-test.cc
@@ -70,6 +70,24 @@
   CHECK(second.connections() == 1);
 }
 
+TEST_CASE("a resumed stream does not have the length of the answer before",
+          "[answers]") {
+  ForwardFixture fixture;
+  PublishRetryableRoute(fixture, RequestKind::kGeneration);
+  fixture.AddRawUpstream(
+      "u-1", "draft", RawHead("r-1", "Content-Length: 45\r\n") + EventText(1));
+  // Less and more than what is left of the length.
+  const std::string rest =
+      GENERATE(EventText(2), EventText(2) + EventText(3) + EventText(4));
+  fixture.AddRawUpstream("u-2", "draft", RawAnswerTo("r-1", rest));
+  const routing::LoadReservation busy(fixture.loads, base::UpstreamId("u-2"),
+                                      {1, 5000, 0, 0});
+  const auto response =
+      fixture.SendRequest(CallerRequestFor("draft", "r-1", kLongTime));
+  REQUIRE(response.ok());
+  CHECK(response->body == EventText(1) + rest);
+}
+
 TEST_CASE("a broken answer fails a fetch and is no proof that nothing was sent",
           "[answers]") {
   const std::string head = GENERATE(from_range(BrokenHeads()));
