--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -59,8 +59,8 @@
   return write_error != asio::error::broken_pipe;
 }
 
-// The status codes that there are (RFC 9110, section 15), known or not. The
-// parser takes any three digits for one.
+// The valid status codes, known or not (RFC 9110, section 15). The parser takes
+// any three digits for one.
 constexpr unsigned kFirstStatus = 100;
 constexpr unsigned kLastStatus = 599;
 // Interim responses (RFC 9110, section 15.2) precede the answer.
@@ -244,7 +244,7 @@
     }
     const unsigned status = parser_->get().result_int();
     if (status < kFirstStatus || status > kLastStatus) {
-      return BadAnswer(absl::StrCat("the status is no status code: ", status));
+      return BadAnswer(absl::StrCat("the status code ", status, " is invalid"));
     }
     if (status >= kFirstFinalStatus) {
       return HasKnownTransferCoding()
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -35,8 +35,8 @@
   /// Reads the status line and headers of the response; the returned body is
   /// empty. After a response has been read to its end, reads the head of the
   /// next one on the same connection. Interim responses are skipped. Fails with
-  /// `kBadAnswer` if the head can't be an answer's: a status that is none, a
-  /// line that begins with a blank, an unknown transfer coding. A length that
+  /// `kBadAnswer` if the head can't be an answer's: an invalid status code,
+  /// a line that begins with a blank, an unknown transfer coding. A length that
   /// the server has written more than once stands once.
   virtual base::Task<absl::StatusOr<Response>> ReadHead(
       base::Millis timeout) = 0;
--- a/test/broken-answers-places-test.cc
+++ b/test/broken-answers-places-test.cc
@@ -192,10 +192,13 @@
 // A daemon as a process of its own, whose reads and writes happen while the
 // upstream's do.
 
+constexpr int kUploads = 6;
+
 /// A daemon process whose upstreams all send the same bytes.
 struct DaemonFixture : PlatformFixture {
   explicit DaemonFixture(const RawAnswer& answer) {
-    // More than uploads, as one whose answer broke is avoided for a while.
+    // More than `kUploads`, as an upstream whose answer broke is avoided for a
+    // while.
     constexpr int kUpstreams = 8;
     store.AppendRecord(
         "config",
@@ -259,8 +262,6 @@
   std::unique_ptr<RunningDaemon> daemon;
 };
 
-constexpr int kUploads = 6;
-
 TEST_CASE("a daemon process passes no broken answer to an upload on",
           "[answers]") {
   RawAnswer answer{RawHead("r-1", kUnframed) + "part"};
@@ -268,7 +269,7 @@
     answer.reset = true;
   }
   SECTION("its server closes the connection while the upload is written") {}
-  SECTION("its status is none") {
+  SECTION("its status code is invalid") {
     answer.bytes = AnswerWithStatusLine("HTTP/1.1 000 OK", "part");
     answer.read_rest = true;
   }
--- a/test/broken-answers-test.cc
+++ b/test/broken-answers-test.cc
@@ -12,12 +12,13 @@
 
 // Status lines.
 
-const std::vector<std::string> kNoStatusCodes = {"000", "001", "099", "600",
-                                                 "999"};
+const std::vector<std::string> kInvalidStatusCodes = {"000", "001", "099",
+                                                      "600", "999"};
 
-TEST_CASE("an answer whose status is none is not passed on", "[answers]") {
+TEST_CASE("an answer with an invalid status code is not passed on",
+          "[answers]") {
   const RequestKind kind = GENERATE(from_range(kKinds));
-  const std::string status = GENERATE(from_range(kNoStatusCodes));
+  const std::string status = GENERATE(from_range(kInvalidStatusCodes));
   CAPTURE(status);
   AnswerFixture fixture(kind);
   CheckRefused(fixture.Pass(
@@ -66,7 +67,7 @@
   CHECK_FALSE(response->headers.Has("Link"));
 }
 
-TEST_CASE("an interim head whose status is none is no interim head",
+TEST_CASE("a head with an invalid status code is not skipped as an interim one",
           "[answers]") {
   AnswerFixture fixture(RequestKind::kNonIdempotent);
   CheckRefused(
@@ -76,35 +77,36 @@
 // Field lines.
 
 /// Lines whose field name is no token (RFC 9110, section 5.6.2).
-const std::vector<std::string> kNoFieldLines = {"X Bad: 1",
-                                                "X-Bad : 1",
-                                                "X-Bad\t: 1",
-                                                "X\tBad: 1",
-                                                "X\x01"
-                                                "Bad: 1",
-                                                std::string("X\0Bad: 1", 8),
-                                                "X\x1f"
-                                                "Bad: 1",
-                                                "X\x7f"
-                                                "Bad: 1",
-                                                "X\x80"
-                                                "Bad: 1",
-                                                "X\rBad: 1",
-                                                "X\nBad: 1",
-                                                "X(Bad): 1",
-                                                ": 1",
-                                                "X-Bad",
-                                                "Content-Length : 3",
-                                                "Content-Length\t: 3",
-                                                "Content Length: 3",
-                                                "\x0b"
-                                                "Content-Length: 3"};
+const std::vector<std::string> kInvalidFieldLines = {
+    "X Bad: 1",
+    "X-Bad : 1",
+    "X-Bad\t: 1",
+    "X\tBad: 1",
+    "X\x01"
+    "Bad: 1",
+    std::string("X\0Bad: 1", 8),
+    "X\x1f"
+    "Bad: 1",
+    "X\x7f"
+    "Bad: 1",
+    "X\x80"
+    "Bad: 1",
+    "X\rBad: 1",
+    "X\nBad: 1",
+    "X(Bad): 1",
+    ": 1",
+    "X-Bad",
+    "Content-Length : 3",
+    "Content-Length\t: 3",
+    "Content Length: 3",
+    "\x0b"
+    "Content-Length: 3"};
 
 TEST_CASE("an answer with a malformed field name is not passed on",
           "[answers]") {
   const RequestKind kind = GENERATE(from_range(kKinds));
   const bool first = GENERATE(true, false);
-  const std::string line = GENERATE(from_range(kNoFieldLines));
+  const std::string line = GENERATE(from_range(kInvalidFieldLines));
   CAPTURE(line, first);
   AnswerFixture fixture(kind);
   CheckRefused(fixture.Pass({AnswerWithLine(line, first, WholeBody(kind))}));
