--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -205,7 +205,8 @@
     has_folded_line_ = false;
   }
 
-  // Reads a head, interim or not, into the parser.
+  // Reads a head, interim or not, into the parser. The library's own read would
+  // not show the lines that the parser takes.
   Task<boost::system::error_code> ReadAnyHead() {
     for (;;) {
       boost::system::error_code error;
@@ -277,6 +278,7 @@
                                   kChunked);
   }
 
+  // Returns the head that was read.
   Response TakeHead() const {
     Response head;
     head.status = parser_->get().result_int();
@@ -312,6 +314,7 @@
   bool may_have_been_sent_ = false;
   bool response_complete_ = false;
   bool ended_by_peer_ = false;
+  // A line of the head that is being read begins with a blank.
   bool has_folded_line_ = false;
   // The connection was lost while the request was sent, so that the end of its
   // bytes is not the end of an answer.
--- a/test/broken-answers-places-test.cc
+++ b/test/broken-answers-places-test.cc
@@ -37,6 +37,7 @@
 
 TEST_CASE("a broken answer is repeated where that is allowed", "[answers]") {
   const std::string head = GENERATE(from_range(BrokenHeads()));
+  CAPTURE(head);
   ForwardFixture fixture;
   PublishRetryableRoute(fixture, RequestKind::kIdempotent);
   const RawUpstream& first =
