Add a function that percent-encodes text for a target

Keys of the platform's store and other text of outside go into targets of requests as they are. Bytes with a meaning in a query, such as `#`, `%` and `&`, cut or change the request. The function encodes all bytes but the unreserved ones of RFC 3986; nothing calls it yet.

--- a/src/http/message.cc
+++ b/src/http/message.cc
@@ -132,6 +132,24 @@
       std::ceil(std::min(seconds, kMaxSeconds) * kMsPerSecond)));
 }
 
+std::string PercentEncode(std::string_view text) {
+  constexpr std::string_view kUnreserved = "-._~";
+  constexpr std::string_view kHexDigits = "0123456789ABCDEF";
+  std::string encoded;
+  for (const char octet : text) {
+    const auto number = static_cast<unsigned char>(octet);
+    if (absl::ascii_isalnum(number) ||
+        kUnreserved.find(octet) != std::string_view::npos) {
+      encoded.push_back(octet);
+    } else {
+      encoded.push_back('%');
+      encoded.push_back(kHexDigits[number >> 4]);
+      encoded.push_back(kHexDigits[number & 0xf]);
+    }
+  }
+  return encoded;
+}
+
 Response JsonResponse(int status, std::string body) {
   Response response;
   response.status = status;
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -65,6 +65,10 @@
 /// fraction. Empty if there is none or it can't be read; a date can't.
 std::optional<base::Millis> FindRetryAfter(const Headers& headers);
 
+/// Returns `text` with all bytes but letters, digits and `-._~` as `%XX`, so
+/// that it can be one segment of a target's path or one value of its query.
+std::string PercentEncode(std::string_view text);
+
 /// Returns a response with a JSON body.
 Response JsonResponse(int status, std::string body);
 
