--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -6,8 +6,7 @@
 #include "kernel/fleet_settings.h"
 #include "platform/platform_protocol.h"
 #include "platform/records.h"
-#include "platform/store_client.h"
-#include "test/fake-store.h"
+#include "test/store-fixture.h"
 
 namespace dandelion::test {
 namespace {
@@ -168,27 +167,6 @@
         ErrorKind::kInvalidTables);
 }
 
-struct StoreFixture {
-  template <typename T>
-  T Await(Task<T> task) {
-    std::optional<T> result;
-    const auto await_task = [&]() -> Task<void> {
-      result = co_await std::move(task);
-    };
-    base::Spawn(context.get_executor(), await_task());
-    context.restart();
-    while (!result) {
-      context.run_one();
-    }
-    return *std::move(result);
-  }
-
-  boost::asio::io_context context;
-  FakeStore store{context.get_executor()};
-  http::Client http;
-  platform::StoreClient client{http, [this] { return store.address(); }};
-};
-
 TEST_CASE("records and removals are read from the store", "[store]") {
   StoreFixture fixture;
   fixture.store.AppendRecord("a", "1");
