Log for each topic that it can't be read, and why

Both topics of the store shared one state, so that the failure of one hid behind the success or the failure of the other, and a failure was logged for its first reason only. The log of a daemon without a configuration did not tell why. Now store_lost and store_back speak of one topic, and store_lost is repeated if the reason changes.

--- a/src/store/follower.cc
+++ b/src/store/follower.cc
@@ -73,15 +73,17 @@
 }
 
 void Follower::RecordReachability(Topic topic, const absl::Status& status) {
-  if (status.ok() == reachable_) {
+  std::string& failure = failures_[static_cast<size_t>(topic)];
+  const std::string reason(status.message());
+  if (status.ok() ? failure.empty() : failure == reason) {
     return;
   }
-  reachable_ = status.ok();
-  if (reachable_) {
+  failure = reason;
+  if (status.ok()) {
     Emit(Event::kStoreBack, {{"topic", std::string(ToString(topic))}});
   } else {
-    Emit(Event::kStoreLost, {{"topic", std::string(ToString(topic))},
-                             {"reason", std::string(status.message())}});
+    Emit(Event::kStoreLost,
+         {{"topic", std::string(ToString(topic))}, {"reason", reason}});
   }
 }
 
--- a/src/store/follower.h
+++ b/src/store/follower.h
@@ -62,12 +62,15 @@
 
  private:
   base::Task<bool> ReadOnce(Topic topic);
+  // Logs when the topic can't be read, why if that changes, and when it can
+  // again.
   void RecordReachability(Topic topic, const absl::Status& status);
 
   base::Clock clock_;
   MetadataStore& store_;
   Hooks hooks_;
-  bool reachable_ = true;
+  // Why the last read of each topic failed; empty if it succeeded.
+  std::array<std::string, kTopicCount> failures_;
   bool is_store_slow_ = false;
   std::optional<base::Millis> upstreams_read_at_;
 };
