Leave out single items of the store's pages that can't be read

One item without a field, or with one of another type, or one key that is not UTF-8, failed the page, and so every read of its topic: daemons never got ready.

--- a/src/store/topic.cc
+++ b/src/store/topic.cc
@@ -3,7 +3,6 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <set>
 
 namespace dandelion::store {
 namespace {
@@ -71,7 +70,7 @@
 
 void TopicReplica::RemoveAbsentKeys(const Update& update,
                                     std::vector<Record>* changed) {
-  std::set<std::string> present;
+  std::set<std::string> present = update.unread_keys;
   for (const Record& record : update.records) {
     present.insert(record.key);
   }
--- a/src/store/topic.h
+++ b/src/store/topic.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -37,6 +38,9 @@
   /// The topic has further records, which did not fit into the answer.
   bool partial = false;
   std::vector<Record> records;
+  /// Of a snapshot: keys whose records could not be read. What is known of
+  /// them stays as it is.
+  std::set<std::string> unread_keys = {};
 };
 
 /// A copy of a topic's newest records, with the time at which it was last
