Count the empty key once in the digest of a topic's keys

The digest by which daemons see whether they have the same keys told a key that is present by its text, so that the empty key changed it with each record.

--- a/src/store/topic.cc
+++ b/src/store/topic.cc
@@ -59,8 +59,9 @@
 }
 
 void TopicReplica::StoreRecord(const Record& record) {
-  Entry& entry = entries_[record.key];
-  const bool was_present = !entry.record.key.empty() && !entry.record.removed;
+  const auto [known, is_new] = entries_.try_emplace(record.key);
+  Entry& entry = known->second;
+  const bool was_present = !is_new && !entry.record.removed;
   if (was_present == record.removed) {
     key_digest_ ^= HashKey(record.key);
   }
