Refuse versions and handles that are nested JSON

A daemon ended without a line in its log when an entry of an upstream, an order for a roll-out or an engine's answer named a version, a handle or a state by JSON nested 100,000 deep. Any value that was no string was written as text, and writing JSON calls itself for each level, until the stack ends. Parsing and destroying JSON don't, and nothing else copies such a value.

What names something may now be a string or a number, in one place; anything else names nothing: the entry or the order is refused, the others hold.

--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -122,7 +122,10 @@
            {"addr", "\"10.0.0.1:\""},
            {"addr", deep},
            {"state", deep_object},
-           {"zone", "{}"}}) {
+           {"zone", "{}"},
+           {"version", deep},
+           {"version", deep_object},
+           {"version", "true"}}) {
     CAPTURE(field, value.substr(0, 40));
     CHECK_FALSE(platform::ParseUpstreamEntry(EntryWith(field, value)).ok());
   }
@@ -134,6 +137,10 @@
   const auto entry = platform::ParseUpstreamEntry(EntryWith("born", "1e300"));
   REQUIRE(entry.ok());
   CHECK(entry->started_at == 0);
+  // A version may be a number.
+  const auto numbered = platform::ParseUpstreamEntry(EntryWith("version", "7"));
+  REQUIRE(numbered.ok());
+  CHECK(numbered->version == base::SoftwareVersion("7"));
 }
 
 TEST_CASE("a valid configuration is parsed, an incomplete one is rejected",
