Refuse names that no header or message can hold

Ids of upstreams and names of daemons, roll-outs and data centres are keys in the store, of any bytes; zones, pools, versions and organisations come from JSON, which can hold line breaks. They go into headers of requests and into strings of messages between daemons, which must be UTF-8.

An id with a line break ended its header: the upstream got a request with another header, or one that it refused as malformed, so that nothing was served. An id that isn't UTF-8 reached the upstream, too; by reading, peers refuse each message that names it.

The keys of an organisation with such a name are unknown, and the rest of the configuration is in effect. An address of a daemon must be IP:PORT. Records are still kept and passed on as before, so that digests of keys agree beside daemons of earlier versions.

--- a/src/fleet/catalogue.h
+++ b/src/fleet/catalogue.h
@@ -108,6 +108,9 @@
   std::map<base::PoolName, Pool> pools;
   /// Organisations by API key. One with several keys has several entries.
   std::map<std::string, Organisation> organisation_by_key;
+  /// Organisations whose names can't be sent to upstreams; their keys are left
+  /// out.
+  std::vector<base::OrganisationId> refused_organisations;
   /// Requests on routes that are not public must have a known API key.
   bool needs_keys = false;
   CallerLimits limits;
--- a/src/fleet/fleet_state.cc
+++ b/src/fleet/fleet_state.cc
@@ -4,6 +4,8 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "base/error.h"
+#include "base/text.h"
 #include "telemetry/events.h"
 
 namespace dandelion::fleet {
@@ -69,6 +71,7 @@
                                          catalogue_->version);
   if (newer) {
     catalogue_ = operator_record->catalogue;
+    ReportRefusedOrganisations(record);
     Emit(Event::kConfigInstalled,
          {{"version", absl::StrCat(catalogue_->version)},
           {"offset", absl::StrCat(record.offset)},
@@ -80,14 +83,37 @@
   return true;
 }
 
+void FleetState::ReportRefusedOrganisations(const Record& record) const {
+  for (const base::OrganisationId& name : catalogue_->refused_organisations) {
+    Emit(Event::kConfigRejected,
+         {{"key", record.key},
+          {"offset", absl::StrCat(record.offset)},
+          {"organisation", name.value()},
+          {"reason",
+           "the name can't be sent to upstreams; its keys are "
+           "unknown"}});
+  }
+}
+
+// Parses the entry of an upstream. Fails if the record comes from another
+// writer.
+absl::StatusOr<UpstreamEntry> FleetState::ParseUpstreamRecord(
+    const Record& record) {
+  if (!base::IsValidName(record.key)) {
+    return base::MakeError(base::ErrorKind::kBadAnswer,
+                           "the key can't be the id of an upstream",
+                           "find the program that wrote it; it is ignored");
+  }
+  return hooks_.parse_upstream_entry(record.value);
+}
+
 bool FleetState::ApplyUpstreamRecord(const Record& record) {
   const base::UpstreamId id(record.key);
   std::optional<UpstreamEntry> entry;
   if (!record.removed) {
-    absl::StatusOr<UpstreamEntry> read =
-        hooks_.parse_upstream_entry(record.value);
+    absl::StatusOr<UpstreamEntry> read = ParseUpstreamRecord(record);
     if (!read.ok()) {
-      // The record may come from another writer; the last valid entry stays.
+      // The last valid entry stays.
       Emit(Event::kStoreRecordRefused,
            {{"upstream", record.key},
             {"offset", absl::StrCat(record.offset)},
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -68,6 +68,9 @@
   /// These return whether peers need the record too.
   bool ApplyOperatorRecord(const store::Record& record);
   bool ApplyUpstreamRecord(const store::Record& record);
+  absl::StatusOr<UpstreamEntry> ParseUpstreamRecord(
+      const store::Record& record);
+  void ReportRefusedOrganisations(const store::Record& record) const;
 
   base::Clock clock_;
   UpstreamList& upstreams_;
--- a/test/outside-text-test.cc
+++ b/test/outside-text-test.cc
@@ -1,9 +1,12 @@
 #include <catch2/catch.hpp>
 
+#include <cstring>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "platform/engine_control.h"
+#include "platform/records.h"
 #include "test/daemon-support.h"
 
 namespace dandelion::test {
@@ -140,5 +143,107 @@
   }
 }
 
+std::string_view InstanceOf(const http::Request& request) {
+  return request.headers.Find("X-Dandeliondyke-Expect-Instance");
+}
+
+TEST_CASE("an upstream's id adds headers to requests or harms peers' messages",
+          "[outside]") {
+  // Line breaks, bytes that protobuf's strings can't hold, blanks that are no
+  // part of a header's value, and no id at all.
+  const std::string id = GENERATE("u\r\nX-Added: 1", "u\n", "\xff\xfe",
+                                  "\xed\xa0\x80", "u ", " u", "u\x7f", "");
+  CAPTURE(id);
+  OutsideFixture fixture;
+  fixture.List("u-1");
+  fixture.StartDaemon();
+  REQUIRE(fixture.Serves());
+  // Keys that need encoding can't end a page of the newest records.
+  fixture.List(id);
+  fixture.List("u-last");
+  constexpr size_t kSomeRequests = 30;
+  const auto& seen = fixture.upstream.seen();
+  REQUIRE(fixture.RunUntil(
+      [&] { return fixture.Serves() && InstanceOf(seen.back()) == "u-last"; }));
+  for (size_t end = seen.size() + kSomeRequests; seen.size() < end;) {
+    REQUIRE(fixture.Serves());
+  }
+  for (const http::Request& request : seen) {
+    CHECK_FALSE(request.headers.Has("X-Added"));
+    const std::string_view instance = InstanceOf(request);
+    CHECK((instance == "u-1" || instance == "u-last"));
+  }
+  CHECK(fixture.daemon->HasLogged("store_record_refused"));
+}
+
+TEST_CASE("a data centre or pool of an entry can't be named to peers",
+          "[outside]") {
+  const json entry = OutsideFixture::MakeUpstreamEntry(
+      "pool", tcp::endpoint(tcp::v4(), 80), 10);
+  for (const char* field : {"zone", "backend", "version"}) {
+    for (const std::string value :
+         {R"("a\r\nb")", R"("a\u0000")", R"(" a")", R"("\u007f")"}) {
+      CAPTURE(field, value);
+      CHECK_FALSE(
+          platform::ParseUpstreamEntry(WithField(entry, field, value)).ok());
+    }
+    CHECK(
+        platform::ParseUpstreamEntry(WithField(entry, field, R"("a b\u0142")"))
+            .ok());
+  }
+}
+
+TEST_CASE("an operator's key that peers can't be told is taken up",
+          "[outside]") {
+  OutsideFixture fixture;
+  fixture.List("u-1");
+  fixture.StartDaemon();
+  REQUIRE(fixture.Serves());
+  const std::string order =
+      json({{"backend", "pool"}, {"to", "2"}, {"over-s", 30}}).dump();
+  fixture.store.AppendRecord("rollout/\xff", order, "keyed.op");
+  fixture.store.AppendRecord("evacuate/a\n", "{}", "keyed.op");
+  fixture.store.AppendRecord("rollout/a02%#", order, "keyed.op");
+  REQUIRE(fixture.RunUntil(
+      [&] { return !fixture.daemon->LoggedLines("rollout=a02%#").empty(); }));
+  CHECK_FALSE(fixture.daemon->LoggedLines("offset=1 ").empty());
+  CHECK(fixture.daemon->HasLogged("config_rejected"));
+  CHECK_FALSE(fixture.daemon->HasLogged("data_centre_evacuated"));
+}
+
+TEST_CASE("the name of an organisation adds headers to requests", "[outside]") {
+  const json tenants = {{{"name", "a\r\nX-Added: 1"}, {"api-keys", {"k1"}}},
+                        {{"name", "b"}, {"api-keys", {"k2"}}}};
+  const auto catalogue =
+      platform::ParseCatalogue(json({{"version", 1},
+                                     {"routes", json::array()},
+                                     {"backends", json::array()},
+                                     {"tenants", tenants}})
+                                   .dump());
+  REQUIRE(catalogue.ok());
+  CHECK((*catalogue)->needs_keys);
+  CHECK_FALSE((*catalogue)->organisation_by_key.contains("k1"));
+  CHECK((*catalogue)->organisation_by_key.contains("k2"));
+}
+
+TEST_CASE("odd entries of daemons end a daemon that joins", "[outside]") {
+  OutsideFixture fixture;
+  for (const char* address : {"nowhere", "", "*:*", "127.0.0.1:0",
+                              "127.0.0.1:99999", "[::1", "a b:1", "\r\n"}) {
+    fixture.store.AppendRecord(
+        std::string("peer-") + std::to_string(strlen(address)),
+        json({{"address", address}, {"data_centre", "dc\n"}}).dump(),
+        "keyed.daemons");
+  }
+  fixture.store.AppendRecord("zz-odd", R"({"address": 7})", "keyed.daemons");
+  fixture.List("u-1");
+  fixture.StartDaemon();
+  CHECK(fixture.Serves());
+  // The daemon has tried to reach the others.
+  CHECK(fixture.RunUntil(
+      [&] { return fixture.daemon->HasLogged("store_record_refused"); }));
+  CHECK(fixture.Serves());
+}
+
 }  // namespace
 }  // namespace dandelion::test
