--- a/test/outside-text-test.cc
+++ b/test/outside-text-test.cc
@@ -226,6 +226,99 @@
   CHECK((*catalogue)->organisation_by_key.contains("k2"));
 }
 
+/// Two daemon processes that know each other, in front of engines that crash at
+/// some prompts.
+struct PeersFixture : PlatformFixture {
+  PeersFixture() {
+    store.AppendRecord(
+        "config",
+        json({{"version", 1},
+              {"routes", {MakeRoute("draft", "stream", "engines")}},
+              {"backends",
+               {{{"name", "engines"},
+                 {"engine", {{"slots", 10}, {"kv-cap-tokens", 100'000}}}}}}})
+            .dump(),
+        "keyed.op");
+    constexpr int kEngines = 8;
+    for (int i = 0; i < kEngines; ++i) {
+      engines.push_back(std::make_unique<FakeUpstream>(
+          context.get_executor(), [](http::Exchange& exchange) -> Task<void> {
+            return AnswerOrCrash(exchange);
+          }));
+      store.AppendRecord(
+          "u-" + std::to_string(i),
+          MakeUpstreamEntry("engines", *engines.back(), 10).dump());
+    }
+    first = std::make_unique<RunningDaemon>(*this);
+    more_settings = {{"host", "front-2"}};
+    second = std::make_unique<RunningDaemon>(*this);
+  }
+  ~PeersFixture() {
+    first.reset();
+    second.reset();
+    for (const auto& engine : engines) {
+      engine->CloseAll();
+    }
+    EndTasks();
+  }
+
+  static Task<void> AnswerOrCrash(http::Exchange& exchange) {
+    const std::string parts(
+        exchange.request().headers.Find("X-Dandeliondyke-Prefix-Hash"));
+    (void)co_await exchange.StartStream(SealedResponse(exchange.request(), ""));
+    if (parts.find("bad") != std::string::npos) {
+      exchange.Abort();
+      co_return;
+    }
+    (void)co_await exchange.Write(EventText(1));
+    (void)co_await exchange.Finish();
+  }
+
+  /// Sends a request whose prompt has `part` to the first daemon. Returns its
+  /// status, or 0 if there is no answer.
+  int Send(const std::string& part) {
+    Caller caller(context);
+    const std::string own = std::to_string(++requests);
+    const bool sent =
+        caller.SendRequest(first->address, requests, "draft",
+                           "X-Dandeliondyke-Token-Count: 100,50\r\n"
+                           "X-Dandeliondyke-Prefix-Hash: " +
+                               part + ":40,0" + own + ":60\r\n");
+    if (sent) {
+      RunUntil([&] { return caller.Status() != 0; });
+    }
+    return caller.Status();
+  }
+  bool KnowEachOther() {
+    return RunUntil([this] {
+      return first->HasLogged("peer_up") && second->HasLogged("peer_up") &&
+             Send("50a4d") == kOk;
+    });
+  }
+
+  std::vector<std::unique_ptr<FakeUpstream>> engines;
+  std::unique_ptr<RunningDaemon> first;
+  std::unique_ptr<RunningDaemon> second;
+  int requests = 0;
+};
+
+TEST_CASE("a caller's part of a prompt makes peers refuse all messages",
+          "[outside]") {
+  PeersFixture fixture;
+  REQUIRE(fixture.KnowEachOther());
+  constexpr int kCrashes = 6;
+  for (int i = 0; i < kCrashes; ++i) {
+    fixture.Send("bad\xff");
+  }
+  // Only what the second daemon hears lets it quarantine a part.
+  const bool heard = fixture.RunUntil([&] {
+    fixture.Send("bad0");
+    return fixture.second->HasLogged("part_quarantined");
+  });
+  CHECK(heard);
+  CHECK_FALSE(fixture.second->HasLogged("peer_message_malformed"));
+}
+
 TEST_CASE("odd entries of daemons end a daemon that joins", "[outside]") {
   OutsideFixture fixture;
   for (const char* address : {"nowhere", "", "*:*", "127.0.0.1:0",
