Keep an engine's handle within its place in a request

An engine names the copy of a generation's KV cache in its answer. The name went as it was into the target of the request that frees the copy and into the header Kv-From: one with a line break would have added a header or another request there, one with a space, `?` or `#` another target.

--- a/test/outside-text-test.cc
+++ b/test/outside-text-test.cc
@@ -338,5 +338,25 @@
   CHECK(fixture.Serves());
 }
 
+TEST_CASE("an engine's handle adds a header or another target to a request",
+          "[outside]") {
+  for (const std::string handle : {R"("h\r\nX-Added: 1")", R"("h\u0000")",
+                                   R"(" h")", R"("")", "{}", "true"}) {
+    CAPTURE(handle);
+    CHECK(
+        ControlFixture(R"({"handle": )" + handle + "}").Copy().handle.empty());
+  }
+  CHECK(ControlFixture(R"({"handle": 17})").Copy().handle == "17");
+  ControlFixture fixture("{}");
+  fixture.Run([](platform::HttpEngineControl& control,
+                 tcp::endpoint engine) -> Task<bool> {
+    co_await control.FreeCopy(engine, "a b?c#d/../%41\r\nX-Added: 1");
+    co_return true;
+  }(fixture.control, fixture.engine.address()));
+  REQUIRE(fixture.engine.seen().size() == 1);
+  CHECK(fixture.engine.seen().front().target ==
+        "/v1/kv-handle/a%20b%3Fc%23d%2F..%2F%2541%0D%0AX-Added%3A%201");
+}
+
 }  // namespace
 }  // namespace dandelion::test
