Send no head that could be read as another one

The library writes the method, the target and the lines of a head as they are. Whatever text from outside gets there with a line break, a NUL or a space would begin a second header or request, at a server that never asked for it. The names that go there are checked where they are read; this is the last place, for all of them.

A connection refuses such a request before anything of it is sent, with the kind of an invalid request, so that it is known not to have run.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -92,6 +92,12 @@
   Task<absl::Status> Send(const Request& request,
                           std::string_view body,
                           Millis timeout) override {
+    if (!IsSendable(request)) {
+      co_return MakeError(ErrorKind::kInvalidRequest,
+                          absl::StrCat(EndpointText(endpoint_),
+                                       ": the head of the request is invalid"),
+                          "remove line breaks and spaces from what it names");
+    }
     bhttp::request<bhttp::span_body<const char>> message;
     message.method_string(request.method);
     message.target(request.target);
--- a/src/http/message.cc
+++ b/src/http/message.cc
@@ -12,6 +12,32 @@
 #include "absl/strings/str_split.h"
 
 namespace dandelion::http {
+namespace {
+
+bool IsControl(char octet) {
+  constexpr unsigned char kDelete = 0x7f;
+  const auto number = static_cast<unsigned char>(octet);
+  return number < ' ' || number == kDelete;
+}
+
+// Whether `text` is a token (RFC 9110, section 5.6.2).
+bool IsToken(std::string_view text) {
+  constexpr std::string_view kOtherChars = "!#$%&'*+-.^_`|~";
+  return !text.empty() &&
+         std::all_of(text.begin(), text.end(), [&](char octet) {
+           return absl::ascii_isalnum(static_cast<unsigned char>(octet)) ||
+                  kOtherChars.find(octet) != std::string_view::npos;
+         });
+}
+
+bool IsSendableHeader(const Header& line) {
+  return IsToken(line.name) &&
+         std::none_of(line.value.begin(), line.value.end(), [](char octet) {
+           return IsControl(octet) && octet != '\t';
+         });
+}
+
+}  // namespace
 
 bool HeaderNamesEqual(std::string_view a, std::string_view b) {
   return absl::EqualsIgnoreCase(absl::string_view(a.data(), a.size()),
@@ -132,6 +158,16 @@
       std::ceil(std::min(seconds, kMaxSeconds) * kMsPerSecond)));
 }
 
+bool IsSendable(const Request& request) {
+  const std::string& target = request.target;
+  return IsToken(request.method) && !target.empty() &&
+         std::none_of(
+             target.begin(), target.end(),
+             [](char octet) { return octet == ' ' || IsControl(octet); }) &&
+         std::all_of(request.headers.lines().begin(),
+                     request.headers.lines().end(), IsSendableHeader);
+}
+
 std::string PercentEncode(std::string_view text) {
   constexpr std::string_view kUnreserved = "-._~";
   constexpr std::string_view kHexDigits = "0123456789ABCDEF";
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -65,6 +65,12 @@
 /// fraction. Empty if there is none or it can't be read; a date can't.
 std::optional<base::Millis> FindRetryAfter(const Headers& headers);
 
+/// Whether the request can be sent as it is: its method and the names of its
+/// headers are tokens, its target has neither spaces nor control characters,
+/// and neither have its headers' values, but for spaces and tabs. Anything else
+/// could end a line early and begin another one.
+bool IsSendable(const Request& request);
+
 /// Returns `text` with all bytes but letters, digits and `-._~` as `%XX`, so
 /// that it can be one segment of a target's path or one value of its query.
 std::string PercentEncode(std::string_view text);
--- a/test/outside-text-test.cc
+++ b/test/outside-text-test.cc
@@ -358,5 +358,29 @@
         "/v1/kv-handle/a%20b%3Fc%23d%2F..%2F%2541%0D%0AX-Added%3A%201");
 }
 
+TEST_CASE("a line break in a header or target is sent", "[outside]") {
+  const auto [name, value, target] =
+      GENERATE(table<std::string, std::string, std::string>(
+          {{"X-A", "1\r\nX-Added: 1", "/"},
+           {"X-A", "1\n", "/"},
+           {"X-A", std::string("1\0", 2), "/"},
+           {"X-A\r\nX-Added", "1", "/"},
+           {"X A", "1", "/"},
+           {"", "1", "/"},
+           {"X-A", "1", "/ HTTP/1.1\r\nX-Added: 1\r\n\r\n"},
+           {"X-A", "1", "/a b"},
+           {"X-A", "1", ""}}));
+  CAPTURE(name, value, target);
+  ControlFixture fixture("{}");
+  http::Request request;
+  request.target = target;
+  request.headers.Add(name, value);
+  const http::FetchResult fetched = fixture.Run(fixture.client.Fetch(
+      fixture.engine.address(), request, http::FetchLimits()));
+  CHECK_FALSE(fetched.response.ok());
+  CHECK_FALSE(fetched.may_have_been_sent);
+  CHECK(fixture.engine.seen().empty());
+}
+
 }  // namespace
 }  // namespace dandelion::test
