Cut long values of log lines, and escape all control characters

An error whose text quotes a long value left no line at all: lines beyond what a pipe takes at once (PIPE_BUF) are dropped and only counted, so that an entry with a state of 200,000 bytes was refused in silence. Values also had the delete character, other control characters beyond ASCII and bytes that are not UTF-8 as they were, which no reader of logs expects.

A line that is too long is written again with each value cut, by an even share of the room, and marked. Bytes that are no UTF-8 and all control characters are written as \xNN.

--- a/src/telemetry/events.cc
+++ b/src/telemetry/events.cc
@@ -4,11 +4,17 @@
 #include <poll.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <chrono>
 #include <climits>
 #include <iterator>
+#include <string>
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/str_cat.h"
+#include "base/text.h"
 
 namespace dandelion::telemetry {
 namespace {
@@ -110,6 +116,10 @@
     EventRow{Event::kQuarantinesRecorded, Level::kInfo, "quarantines_recorded"},
 };
 
+absl::string_view ToAbslView(std::string_view text) {
+  return {text.data(), text.size()};
+}
+
 std::atomic<Level> min_level{Level::kInfo};
 
 const EventRow& FindRow(Event event) {
@@ -133,31 +143,95 @@
   return "error";
 }
 
-// Appends `value` in logfmt. A value that is empty or contains a space, '=', a
-// quote, a backslash, a tab or a line break is quoted and escaped.
-void AppendValue(fmt::memory_buffer& out, std::string_view value) {
-  const bool plain =
-      !value.empty() && value.find_first_of(" \"=\\\n\r\t") == value.npos;
-  if (plain) {
+// A pipe that polls as writable accepts this many bytes without blocking.
+constexpr size_t kMaxLineBytes = PIPE_BUF;
+// Stands for the rest of a value.
+constexpr std::string_view kCutMark = "...";
+
+// Whether `character`, in UTF-8, is printed as it is.
+bool IsPrintable(std::string_view character) {
+  constexpr unsigned char kDelete = 0x7f;
+  // Control characters beyond ASCII follow this byte.
+  constexpr unsigned char kControlLead = 0xc2;
+  constexpr unsigned char kLastControl = 0x9f;
+  const auto first = static_cast<unsigned char>(character[0]);
+  return first >= ' ' && first != kDelete &&
+         (first != kControlLead ||
+          static_cast<unsigned char>(character[1]) > kLastControl);
+}
+
+// Escapes the character, or the byte that is in none, at the start of `text`.
+// Returns it and removes it from `text`.
+std::string TakeEscaped(std::string_view* text) {
+  const size_t length = base::Utf8CharLength(*text);
+  const std::string_view character =
+      text->substr(0, std::max<size_t>(1, length));
+  text->remove_prefix(character.size());
+  if (length > 0 && IsPrintable(character)) {
+    const bool is_special = character == "\"" || character == "\\";
+    return absl::StrCat(is_special ? "\\" : "", ToAbslView(character));
+  }
+  std::string escaped;
+  for (const char octet : character) {
+    fmt::format_to(std::back_inserter(escaped), "\\x{:02x}",
+                   static_cast<unsigned char>(octet));
+  }
+  return escaped;
+}
+
+bool IsPlain(std::string_view value) {
+  return !value.empty() &&
+         std::all_of(value.begin(), value.end(), [](char octet) {
+           return absl::ascii_isgraph(static_cast<unsigned char>(octet)) &&
+                  octet != '"' && octet != '=' && octet != '\\';
+         });
+}
+
+// Appends `value` in logfmt: as it is if it consists of ASCII's visible
+// characters but '=', quotes and backslashes, else quoted and escaped. A value
+// that takes more than `max_bytes` is cut there.
+void AppendValue(fmt::memory_buffer& out,
+                 std::string_view value,
+                 size_t max_bytes) {
+  if (value.size() <= max_bytes && IsPlain(value)) {
     out.append(value.data(), value.data() + value.size());
     return;
   }
+  const size_t end = out.size() + max_bytes;
   out.push_back('"');
-  for (const char c : value) {
-    if (c == '"' || c == '\\') {
-      out.push_back('\\');
-      out.push_back(c);
-    } else if (static_cast<unsigned char>(c) < ' ') {
-      fmt::format_to(std::back_inserter(out), "\\x{:02x}", c);
-    } else {
-      out.push_back(c);
+  while (!value.empty()) {
+    const std::string escaped = TakeEscaped(&value);
+    // A closing quote follows, and the mark if the value is cut.
+    const size_t room = value.empty() ? 1 : kCutMark.size() + 1;
+    if (out.size() + escaped.size() + room > end) {
+      out.append(kCutMark.data(), kCutMark.data() + kCutMark.size());
+      break;
     }
+    out.append(escaped.data(), escaped.data() + escaped.size());
   }
   out.push_back('"');
 }
 
-// A pipe that polls as writable accepts this many bytes without blocking.
-constexpr size_t kMaxLineBytes = PIPE_BUF;
+// Appends `fields` with values of up to `max_value_bytes` each.
+void AppendFields(fmt::memory_buffer& line,
+                  std::initializer_list<Field> fields,
+                  size_t max_value_bytes) {
+  for (const Field& field : fields) {
+    fmt::format_to(std::back_inserter(line), " {}=", field.key);
+    AppendValue(line, field.value, max_value_bytes);
+  }
+  line.push_back('\n');
+}
+
+// The longest values with which `fields` fit into `bytes`.
+size_t FairValueBytes(std::initializer_list<Field> fields, size_t bytes) {
+  constexpr size_t kSeparators = 2;
+  size_t used = 1;
+  for (const Field& field : fields) {
+    used += field.key.size() + kSeparators;
+  }
+  return used < bytes ? (bytes - used) / fields.size() : 0;
+}
 
 std::atomic<uint64_t> dropped_lines{0};
 
@@ -192,11 +266,13 @@
   fmt::format_to(std::back_inserter(line), "time={} level={} event={} name={}",
                  unix_ms, ToString(row.level), static_cast<int>(event),
                  row.name);
-  for (const Field& field : fields) {
-    fmt::format_to(std::back_inserter(line), " {}=", field.key);
-    AppendValue(line, field.value);
+  const size_t head_bytes = line.size();
+  AppendFields(line, fields, kMaxLineBytes);
+  if (line.size() > kMaxLineBytes) {
+    line.resize(head_bytes);
+    AppendFields(line, fields,
+                 FairValueBytes(fields, kMaxLineBytes - head_bytes));
   }
-  line.push_back('\n');
   WriteOrDrop({line.data(), line.size()});
 }
 
--- a/test/outside-text-test.cc
+++ b/test/outside-text-test.cc
@@ -382,5 +382,25 @@
   CHECK(fixture.engine.seen().empty());
 }
 
+TEST_CASE("long or odd text from others leaves no line or breaks a line",
+          "[outside]") {
+  OutsideFixture fixture;
+  constexpr size_t kLong = 200'000;
+  json entry = OutsideFixture::MakeUpstreamEntry("pool", fixture.upstream, 10);
+  entry["state"] = std::string(kLong, 'x');
+  fixture.store.AppendRecord("long", entry.dump());
+  entry["state"] = "\x1b[2J\x7f\xc2\x85";
+  fixture.store.AppendRecord("odd", entry.dump());
+  fixture.List("u-1");
+  fixture.StartDaemon();
+  REQUIRE(fixture.Serves());
+  const std::string long_lines = fixture.daemon->LoggedLines("upstream=long");
+  CHECK(long_lines.find("name=store_record_refused") != std::string::npos);
+  CHECK(long_lines.find("offset=0") != std::string::npos);
+  const std::string odd_lines = fixture.daemon->LoggedLines("upstream=odd");
+  CHECK(odd_lines.find(R"(\x1b[2J\x7f)") != std::string::npos);
+  CHECK(odd_lines.find('\x7f') == std::string::npos);
+}
+
 }  // namespace
 }  // namespace dandelion::test
