--- a/test/outside-text-test.cc
+++ b/test/outside-text-test.cc
@@ -6,7 +6,9 @@
 #include <vector>
 
 #include "platform/engine_control.h"
+#include "platform/platform_protocol.h"
 #include "platform/records.h"
+#include "relay/generation_size.h"
 #include "test/daemon-support.h"
 
 namespace dandelion::test {
@@ -402,5 +404,56 @@
   CHECK(odd_lines.find('\x7f') == std::string::npos);
 }
 
+TEST_CASE("a number beyond all bounds becomes another one", "[outside]") {
+  CHECK(ControlFixture(R"({"created-rev": 1e300})").Copy().events_produced ==
+        0);
+  CHECK(ControlFixture(R"({"created-rev": -1})").Copy().events_produced == 0);
+  const relay::PlatformProtocol protocol = platform::MakePlatformProtocol();
+  http::Request request;
+  request.headers.Add("X-Dandeliondyke-Token-Count",
+                      "9223372036854775807,9223372036854775807");
+  request.headers.Add("X-Dandeliondyke-Length-Hint", "9223372036854775807");
+  request.headers.Add("Last-Event-Id", "9223372036854775807");
+  const auto caller = protocol.parse_caller_request(request);
+  REQUIRE(caller.ok());
+  const routing::GenerationSize size = relay::EstimateSize(*caller);
+  // It has to be larger than any engine.
+  constexpr int64_t kHuge = 1'000'000'000;
+  CHECK(size.output_tokens > kHuge);
+  CHECK(size.prompt_tokens > kHuge);
+  CHECK(size.TotalTokens() > kHuge);
+  CHECK(relay::LongestDuration(*caller).value() > base::Millis(kHuge));
+  CHECK(*caller->after_event < INT64_MAX);
+}
+
+TEST_CASE("a number of the configuration becomes another one", "[outside]") {
+  const auto parse = [](const std::string& version, const std::string& number) {
+    return platform::ParseCatalogue(
+        R"({"version": )" + version +
+        R"(, "routes": [{"name": "r", "host": "a.example",
+            "path-prefix": "/r/", "kind": "stream", "prio": )" +
+        number + R"(, "max-attempts": )" + number +
+        R"(, "backend": "b"}], "backends": [{"name": "b", "engine":
+            {"slots": )" +
+        number + R"(, "kv-cap-tokens": )" + number + R"(, "stride": )" +
+        number + R"(}}], "limits": {"max-body-bytes": )" + number + "}}");
+  };
+  const auto catalogue = parse("7", "1e300");
+  REQUIRE(catalogue.ok());
+  CHECK((*catalogue)->routes.front().priority > 0);
+  CHECK((*catalogue)->routes.front().max_upstreams > 0);
+  CHECK((*catalogue)->limits.body_bytes > 0);
+  const fleet::EngineTraits& engine =
+      *(*catalogue)->pools.begin()->second.engine;
+  CHECK(engine.slots > 0);
+  CHECK(engine.memory_tokens > 0);
+  CHECK(engine.tokens_per_event > 0);
+  const auto negative = parse("7", "-1");
+  REQUIRE(negative.ok());
+  CHECK((*negative)->limits.body_bytes == 0);
+  CHECK_FALSE(parse("1e300", "1").ok());
+  CHECK_FALSE(parse("-1e300", "1").ok());
+}
+
 }  // namespace
 }  // namespace dandelion::test
