Refuse a caller's body that is nested too deeply

One request ended a daemon of the own interface, with all streams that it served: a prompt or messages that are no string are copied and written as JSON, which calls itself for each level, until the stack ends. A body of 400 kB is enough.

JSON from outside is now parsed by a function that takes at most 100 levels, which it counts before it parses; such a body is an invalid request.

--- a/src/base/json_values.cc
+++ b/src/base/json_values.cc
@@ -4,6 +4,34 @@
 
 using nlohmann::json;
 
+namespace {
+
+bool IsNestedTooDeeply(std::string_view text) {
+  size_t depth = 0;
+  bool in_string = false;
+  for (size_t i = 0; i < text.size() && depth <= kMaxJsonDepth; ++i) {
+    const char octet = text[i];
+    if (in_string) {
+      in_string = octet != '"';
+      i += octet == '\\' ? 1 : 0;
+    } else if (octet == '"') {
+      in_string = true;
+    } else if (octet == '[' || octet == '{') {
+      ++depth;
+    } else if ((octet == ']' || octet == '}') && depth > 0) {
+      --depth;
+    }
+  }
+  return depth > kMaxJsonDepth;
+}
+
+}  // namespace
+
+json ParseJson(std::string_view text) {
+  return IsNestedTooDeeply(text) ? json(json::value_t::discarded)
+                                 : json::parse(text, nullptr, false);
+}
+
 std::optional<std::string> TextOf(const json& value) {
   if (value.is_string()) {
     return value.get<std::string>();
--- a/src/base/json_values.h
+++ b/src/base/json_values.h
@@ -1,12 +1,22 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace dandelion::base {
 
+/// Levels of arrays and objects that JSON from outside may have.
+inline constexpr size_t kMaxJsonDepth = 100;
+
+/// Parses JSON from outside. Returns a discarded value if it is malformed or
+/// nested deeper than `kMaxJsonDepth`: copying or writing it calls itself for
+/// each level.
+nlohmann::json ParseJson(std::string_view text);
+
 /// Returns the text of a JSON value from outside that names something: a string
 /// as it is, a number as it is written. Empty for any other type, which may be
 /// nested too deeply to be written.
--- a/src/entry/request_handler.cc
+++ b/src/entry/request_handler.cc
@@ -9,6 +9,7 @@
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "base/json_values.h"
 #include "telemetry/events.h"
 
 namespace dandelion::entry {
@@ -218,10 +219,10 @@
       request.headers.Has("Last-Event-ID")) {
     return incoming;
   }
-  const json body = json::parse(request.body, nullptr, false);
+  const json body = base::ParseJson(request.body);
   if (!body.is_object()) {
     return MakeError(ErrorKind::kInvalidRequest,
-                     "the body is not a JSON object",
+                     "the body is not a JSON object, or nested too deeply",
                      "send a completion request as JSON");
   }
   try {
