Add a caller's time limit to the clock only once it is bounded

A caller of the own interface that names a very long time in X-Timeout-Ms was answered as one that doesn't wait at all: the sum of the clock and the largest integer is negative, so that its deadline had passed. The time is now cut to the daemon's own limit before it is added.

With a fleet of processes the test failed before: 429 to a call that is answered with 200 without the header.

--- a/src/entry/request_handler.cc
+++ b/src/entry/request_handler.cc
@@ -206,14 +206,15 @@
                      "check the path, or publish a route for it");
   }
   work.route = *route;
-  work.deadline = clock_.Now() + tuning_.request_timeout;
+  Millis time_left = tuning_.request_timeout;
   int64_t deadline_ms = 0;
   const std::string_view timeout = request.headers.Find("X-Timeout-Ms");
   if (absl::SimpleAtoi(absl::string_view(timeout.data(), timeout.size()),
                        &deadline_ms) &&
       deadline_ms > 0) {
-    work.deadline = std::min(work.deadline, clock_.Now() + Millis(deadline_ms));
+    time_left = std::min(time_left, Millis(deadline_ms));
   }
+  work.deadline = clock_.Now() + time_left;
   incoming.pool_kind = tables->pools.at(route->pool);
   if (incoming.pool_kind == config::PoolKind::kService ||
       request.headers.Has("Last-Event-ID")) {
--- a/test/outside-text-fleet-test.cc
+++ b/test/outside-text-fleet-test.cc
@@ -25,5 +25,14 @@
   CHECK(sound.status == 200);
 }
 
+TEST_CASE("a caller that waits for ever is answered as one that does not wait",
+          "[outside]") {
+  Fleet fleet;
+  fleet.PublishTablesAndWait();
+  Call call = MakeCompletion("n", 5, false);
+  call.timeout_ms = "9223372036854775807";
+  CHECK(fleet.SendAndWait("host-1", call).status == 200);
+}
+
 }  // namespace
 }  // namespace dandelion::test
--- a/test/support.cc
+++ b/test/support.cc
@@ -37,6 +37,9 @@
   if (!call.label.empty()) {
     request.headers.Add("X-Label", call.label);
   }
+  if (!call.timeout_ms.empty()) {
+    request.headers.Add("X-Timeout-Ms", call.timeout_ms);
+  }
   if (!call.key.empty()) {
     request.headers.Add("Idempotency-Key", call.key);
   }
--- a/test/support.h
+++ b/test/support.h
@@ -45,6 +45,8 @@
   std::string key;
   std::string body;
   std::string last_id;
+  /// How long the caller waits, as text; empty for the daemon's own limit.
+  std::string timeout_ms;
   bool stream = false;
   /// Called after each token of a stream.
   std::function<void(size_t tokens)> on_token;
