Bound the ages in the stored quarantines before they are added

The record of the quarantined parts is read from a store that others write to as well. Ages in it that are beyond all bounds were added to its own age, which made them negative: parts that last crashed an engine a very long time ago were restored as if they had just done so, and requests with them rejected.

Ages are bounded as those in peers' messages are, and the time of writing lies between the epoch and now. The added section of the test failed before in one of its three cases, with a time of writing of 0. It passes now.

--- a/src/admission/quarantine_record.cc
+++ b/src/admission/quarantine_record.cc
@@ -28,12 +28,15 @@
   if (!stored.ParseFromString(record)) {
     return false;
   }
-  const int64_t age =
-      std::max<int64_t>(0, unix_now - stored.written_at_unix_ms());
+  const Millis age = base::AgeFromPeer(
+      unix_now - std::clamp<int64_t>(stored.written_at_unix_ms(), 0, unix_now));
+  const auto age_by_now = [age](int64_t ms) {
+    return (base::AgeFromPeer(ms) + age).count();
+  };
   proto::PartEvidence evidence;
   for (proto::QuarantinedParts parts : stored.evidence().quarantines()) {
-    parts.set_break_age_ms(parts.break_age_ms() + age);
-    parts.set_trial_age_ms(parts.trial_age_ms() + age);
+    parts.set_break_age_ms(age_by_now(parts.break_age_ms()));
+    parts.set_trial_age_ms(age_by_now(parts.trial_age_ms()));
     *evidence.add_quarantines() = parts;
   }
   ApplyPartEvidence(base::HostId(), evidence, now, quarantine);
--- a/test/quarantine-record-test.cc
+++ b/test/quarantine-record-test.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "admission/quarantine_record.h"
+#include "proto/peer.pb.h"
 #include "test/daemon-support.h"
 
 namespace dandelion::test {
@@ -70,6 +71,20 @@
         kWritten + PartQuarantine::kQuarantineMemory.count() + 10'000, after));
     CHECK_FALSE(after.FindQuarantined(parts, Millis(100)));
   }
+  SECTION("ages beyond all bounds are old, not new") {
+    proto::StoredQuarantines stored;
+    REQUIRE(stored.ParseFromString(record));
+    const int64_t written = GENERATE(INT64_MIN, INT64_MIN + 1, int64_t{0});
+    stored.set_written_at_unix_ms(written);
+    proto::QuarantinedParts* quarantined =
+        stored.mutable_evidence()->mutable_quarantines(0);
+    quarantined->set_break_age_ms(INT64_MAX);
+    quarantined->set_trial_age_ms(INT64_MAX);
+    PartQuarantine after = MakeQuarantine();
+    REQUIRE(admission::RestoreQuarantines(stored.SerializeAsString(),
+                                          Millis(100), kWritten, after));
+    CHECK_FALSE(after.FindQuarantined(parts, Millis(100)));
+  }
   SECTION("a record that can't be read restores nothing") {
     PartQuarantine after = MakeQuarantine();
     CHECK_FALSE(admission::RestoreQuarantines("\xff\xff no record", Millis(100),
