Test the digest of keys with an empty key at a daemon's replica

Two records with an empty key gave another digest than one, so that daemons with the same keys took each other to lack some.

--- a/test/outside-text-test.cc
+++ b/test/outside-text-test.cc
@@ -9,6 +9,7 @@
 #include "platform/platform_protocol.h"
 #include "platform/records.h"
 #include "relay/generation_size.h"
+#include "store/topic.h"
 #include "test/daemon-support.h"
 
 namespace dandelion::test {
@@ -455,5 +456,22 @@
   CHECK_FALSE(parse("-1e300", "1").ok());
 }
 
+TEST_CASE("an empty key makes digests of the same keys differ", "[outside]") {
+  store::TopicReplica once;
+  store::TopicReplica twice;
+  const auto update = [](int64_t from) {
+    store::Update made;
+    made.snapshot = from == 0;
+    made.from = from;
+    made.to = from + 1;
+    made.records = {{"", "value", false, from}};
+    return made;
+  };
+  once.Apply(update(0), base::Millis(1));
+  twice.Apply(update(0), base::Millis(1));
+  twice.Apply(update(1), base::Millis(1));
+  CHECK(once.key_digest() == twice.key_digest());
+}
+
 }  // namespace
 }  // namespace dandelion::test
