Bound the tokens that an event's number stands for

Engines number the events of a stream, and callers name the last one that they have. The number times the tokens of an event was taken for the tokens made so far, without a bound: for large numbers the product wraps, and what the generation holds and what is left of it came out wrong, also below 0.

One function counts the tokens for all uses, with bounds that leave room for sums. Events and their numbers are passed on as they came.

The test failed before in 4 of 9 checks: 96 tokens held by a generation whose prompt has 100, and 54 left of 50, for two of three numbers. It passes now.

--- a/src/migration/active_generation.h
+++ b/src/migration/active_generation.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstdint>
 #include <memory>
 #include <optional>
 
@@ -70,14 +72,20 @@
   /// Cancelled when the final copy has ended, or forwarding has.
   boost::asio::steady_timer final_copy_ended;
 
-  /// Returns the estimated number of tokens in the KV cache now.
-  int64_t TokensHeld() const {
-    return size.prompt_tokens + last_event * tokens_per_event;
+  /// Returns the number of tokens in the events up to the last one, at most
+  /// 2^40. Engines and callers number events as they like.
+  int64_t TokensMade() const {
+    constexpr int64_t kMaxEvents = INT64_C(1) << 31;
+    constexpr int64_t kMaxTokens = INT64_C(1) << 40;
+    return std::min(std::clamp<int64_t>(last_event, 0, kMaxEvents) *
+                        std::min(tokens_per_event, kMaxEvents),
+                    kMaxTokens);
   }
+  /// Returns the estimated number of tokens in the KV cache now.
+  int64_t TokensHeld() const { return size.prompt_tokens + TokensMade(); }
   /// Returns the estimated number of tokens still to be generated, at least 0.
   int64_t TokensLeft() const {
-    return std::max<int64_t>(
-        0, size.output_tokens - last_event * tokens_per_event);
+    return std::max<int64_t>(0, size.output_tokens - TokensMade());
   }
 };
 
--- a/src/relay/stream_forward.cc
+++ b/src/relay/stream_forward.cc
@@ -355,9 +355,9 @@
   // others are placed on its engine.
   void UpdateSize() {
     routing::GenerationSize& size = generation_->size;
-    const int64_t expected = ExpectedOutput(
-        size, generation_->last_event * generation_->tokens_per_event,
-        call_->admitted.caller.max_output_tokens);
+    const int64_t expected =
+        ExpectedOutput(size, generation_->TokensMade(),
+                       call_->admitted.caller.max_output_tokens);
     if (expected > size.output_tokens) {
       size.output_tokens = expected;
       generation_->place.reservation.RaiseTokens(size.TotalTokens());
--- a/test/outside-text-test.cc
+++ b/test/outside-text-test.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "migration/active_generation.h"
 #include "platform/engine_control.h"
 #include "platform/platform_protocol.h"
 #include "platform/records.h"
@@ -456,6 +457,18 @@
   CHECK_FALSE(parse("-1e300", "1").ok());
 }
 
+TEST_CASE("an event's number makes a generation's size negative", "[outside]") {
+  boost::asio::io_context context;
+  migration::ActiveGeneration generation(context.get_executor());
+  generation.tokens_per_event = 4;
+  generation.size.prompt_tokens = 100;
+  generation.size.output_tokens = 50;
+  generation.last_event = GENERATE(INT64_MAX, INT64_MAX / 2, INT64_MIN);
+  CHECK(generation.TokensHeld() >= 100);
+  CHECK(generation.TokensLeft() >= 0);
+  CHECK(generation.TokensLeft() <= 50);
+}
+
 TEST_CASE("an empty key makes digests of the same keys differ", "[outside]") {
   store::TopicReplica once;
   store::TopicReplica twice;
