Log the software version with each send and copy of a stream

Cause: rule ORDER was broken by streams that went on at another version of their upstreams' software, and no line of the log names a version, so that a move to another version can't be told from one within it. No decision changes.

--- a/src/migration/active_generation.h
+++ b/src/migration/active_generation.h
@@ -20,6 +20,8 @@
   base::UpstreamId upstream;
   boost::asio::ip::tcp::endpoint address;
   base::DataCentreId data_centre;
+  /// Version of the upstream's software when it was chosen.
+  base::SoftwareVersion version;
   routing::LoadReservation reservation;
   /// When it was chosen, the prompt tokens that the engine then had to process,
   /// with those of the request, and its time per token.
--- a/src/migration/migrator.cc
+++ b/src/migration/migrator.cc
@@ -60,6 +60,7 @@
   source.upstream = generation.place.upstream;
   source.address = generation.place.address;
   source.data_centre = generation.place.data_centre;
+  source.version = generation.place.version;
   return source;
 }
 
@@ -153,6 +154,8 @@
   const auto source_address = generation->place.address;
   const auto target_address = generation->copy->place.address;
   const UpstreamId target = generation->copy->place.upstream;
+  const base::SoftwareVersion version = generation->place.version;
+  const base::SoftwareVersion to_version = generation->copy->place.version;
   const Millis started = clock_.Now();
   const KvCacheCopyResult result = co_await engines_.CopyKvCache(
       source_address, generation->id, target_address, false, kCopyTimeout);
@@ -161,6 +164,8 @@
   Emit(Event::kRunCopied, {{"request", generation->id.value()},
                            {"from", source.value()},
                            {"to", target.value()},
+                           {"version", version.value()},
+                           {"to_version", to_version.value()},
                            {"outcome", std::string(ToString(result.outcome))},
                            {"took_ms", absl::StrCat(took.count())},
                            {"events", absl::StrCat(result.events_produced)}});
--- a/src/relay/placer.cc
+++ b/src/relay/placer.cc
@@ -267,6 +267,7 @@
   place.upstream = upstream.id;
   place.address = upstream.entry.address;
   place.data_centre = upstream.entry.data_centre;
+  place.version = upstream.entry.version;
   place.reservation = routing::LoadReservation(loads_, upstream.id, load);
   return place;
 }
--- a/src/relay/stream_forward.cc
+++ b/src/relay/stream_forward.cc
@@ -222,6 +222,7 @@
          {{"request", generation_->id.value()},
           {"from", from.value()},
           {"upstream", generation_->place.upstream.value()},
+          {"version", generation_->place.version.value()},
           {"after_event", absl::StrCat(generation_->last_event)}});
     generation_->migrating = false;
     services_.migrator.Add(generation_);
