--- a/test/forward-support.cc
+++ b/test/forward-support.cc
@@ -318,6 +318,7 @@
   entry.address = address;
   entry.data_centre = base::DataCentreId("dc-a");
   entry.slots = 8;
+  entry.version = added_version;
   upstreams.ApplyEntry(base::UpstreamId(id), entry, clock_.Now());
 }
 
--- a/test/forward-support.h
+++ b/test/forward-support.h
@@ -159,6 +159,8 @@
   relay::Forwarder& forwarder() { return *forwarder_; }
   unsigned short port() const { return callers_->port(); }
 
+  /// Software version of the upstreams that are added from now on.
+  base::SoftwareVersion added_version;
   FakeEngineControl engines;
   fleet::UpstreamList upstreams;
   routing::LoadTracker loads;
