Count the pace of an answer in a class of its own

The mean time per token of an answer's first events moves to TokenPace; nothing else changes, and the tests of roll-outs that rest on it are the same.

--- a/src/relay/stream_forward.cc
+++ b/src/relay/stream_forward.cc
@@ -11,6 +11,7 @@
 #include "relay/event_splitter.h"
 #include "relay/generation_size.h"
 #include "relay/send_once.h"
+#include "relay/token_pace.h"
 #include "telemetry/events.h"
 
 namespace dandelion::relay {
@@ -36,8 +37,6 @@
 constexpr int64_t kShortOutputTokens = 128;
 // Longest wait for the result of the final copy after the stream broke.
 constexpr Millis kFinalCopyTimeout{1500};
-// Events whose mean time per token stands for an answer.
-constexpr int kPaceEvents = 16;
 // A stream with a longer event is broken.
 constexpr size_t kMaxEventBytes = 1024 * 1024;
 // Events up to this size need no room of their own.
@@ -234,8 +233,7 @@
   Task<SendOutcome> PassStream(std::optional<KvCacheCopy> copy) {
     evidence_.emplace(services_, call_, generation_->place.upstream);
     awaited_final_copy_ = false;
-    token_times_ = 0;
-    token_ms_sum_ = 0;
+    pace_ = {};
     UpstreamReply reply = co_await SendOnce(
         services_, call_, generation_->place, std::move(copy), resume_after_);
     if (reply.end != SendOutcome::kAnswered) {
@@ -391,11 +389,9 @@
   // Counts the time per token for the pool's roll-out: once for each answer, as
   // the times within one depend on each other.
   void RecordPace(double token_ms) {
-    token_ms_sum_ += token_ms;
-    if (++token_times_ == kPaceEvents) {
+    if (const std::optional<double> mean_ms = pace_.Record(token_ms)) {
       services_.rollouts.RecordTokenTime(generation_->place.upstream,
-                                         call_->admitted.route.name,
-                                         token_ms_sum_ / kPaceEvents);
+                                         call_->admitted.route.name, *mean_ms);
     }
   }
 
@@ -458,8 +454,7 @@
   /// What the current answer says about the parts of the prompt.
   std::optional<AnswerEvidence> evidence_;
   /// Times between events of the current answer.
-  int token_times_ = 0;
-  double token_ms_sum_ = 0;
+  TokenPace pace_;
   /// The result of the final copy was waited for after the stream's end.
   bool awaited_final_copy_ = false;
   /// The answer broke as it began, and the prompt has a part that may be the
