Let a stream go on only at the version that began it

Cause: neither the choice of a migration's target nor that of a repeat after a break asks for the version. Change: from the head of its answer on, a stream is bound to the version of the place that began it; targets and repeats are chosen among that version alone, whatever a roll-out prefers. Without one, a stream stays with its engine to its end, and then breaks off. An engine that is listed with another version than when it was chosen may have run the stream at either, so that the stream breaks off as it ends there. Streams that wait for their version have queues of their own, so that they don't hold up those that others can take, and come first as something becomes free, as all others have more to choose from. A wait ends when the pool has no upstream of the version but others; with none at all, one may be listed again, as before.

--- a/src/relay/attempt_rules.cc
+++ b/src/relay/attempt_rules.cc
@@ -40,6 +40,11 @@
   return "broken";
 }
 
+bool DidNotRun(SendOutcome end) {
+  return end == SendOutcome::kNotSent || end == SendOutcome::kNotRun ||
+         end == SendOutcome::kOtherUpstream;
+}
+
 void SendHistory::RecordSend(SendOutcome end) {
   switch (end) {
     case SendOutcome::kNotSent:
--- a/src/relay/attempt_rules.h
+++ b/src/relay/attempt_rules.h
@@ -36,6 +36,9 @@
 /// Returns the name that is written to the log.
 std::string_view ToString(SendOutcome end);
 
+/// Returns whether a send that ended so certainly did not run the request.
+bool DidNotRun(SendOutcome end);
+
 /// Counts the sends of one request so far.
 struct SendHistory {
   /// Sends that reached the upstream that they were meant for.
--- a/src/relay/placer.cc
+++ b/src/relay/placer.cc
@@ -70,13 +70,25 @@
       self_reports_(self_reports),
       hooks_(std::move(hooks)) {}
 
-rollout::VersionChoice Placer::ChooseVersions(
+std::vector<const fleet::Upstream*> Placer::UsableFor(
     const PlaceRequest& request) const {
   std::vector<const fleet::Upstream*> usable =
       upstreams_.UsableInPool(request.pool.name);
+  if (request.begun_at) {
+    std::erase_if(usable, [&request](const fleet::Upstream* upstream) {
+      return upstream->entry.version != *request.begun_at;
+    });
+  }
+  return usable;
+}
+
+rollout::VersionChoice Placer::ChooseVersions(
+    const PlaceRequest& request) const {
+  std::vector<const fleet::Upstream*> usable = UsableFor(request);
   const std::optional<rollout::VersionRule> rule =
-      hooks_.version_rule ? hooks_.version_rule(request.pool.name)
-                          : std::nullopt;
+      hooks_.version_rule && !request.begun_at
+          ? hooks_.version_rule(request.pool.name)
+          : std::nullopt;
   if (!rule) {
     return {std::move(usable), {}};
   }
@@ -230,10 +242,14 @@
     const migration::ActiveGeneration& generation,
     const fleet::Pool& pool,
     const std::set<base::UpstreamId>& excluded) {
+  if (HasOtherVersion(generation.place)) {
+    return std::nullopt;
+  }
   PlaceRequest request;
   request.pool = pool;
   request.size = generation.size;
   request.excluded = excluded;
+  request.begun_at = generation.place.version;
   std::vector<migration::MigrationTarget> targets;
   for (UpstreamCandidate& candidate : FindCandidates(request)) {
     const fleet::Upstream& upstream = *upstreams_.Find(candidate.id);
@@ -258,6 +274,11 @@
       {1, size.tokens_held + size.tokens_left, 0, size.tokens_held});
 }
 
+bool Placer::HasOtherVersion(const migration::Place& place) const {
+  const fleet::Upstream* upstream = upstreams_.Find(place.upstream);
+  return upstream && upstream->entry.version != place.version;
+}
+
 migration::Place Placer::ReservePlace(const base::UpstreamId& id,
                                       const routing::Load& load) {
   const fleet::Upstream& upstream = *upstreams_.Find(id);
@@ -273,8 +294,13 @@
 }
 
 PlaceResult Placer::Place(PlaceRequest request, OnPlace on_place) {
-  PoolQueue& pool_queue = queues_[request.pool.name];
   PlaceResult answer;
+  if (!request.begun_at) {
+    // Streams can go on at few upstreams, so that others would always be there
+    // first.
+    DispatchBegun(request.pool.name);
+  }
+  PoolQueue& pool_queue = QueueFor(request);
   if (pool_queue.queue.on_time_size() == 0) {
     answer.place = TryPlace(request);
     if (answer.place) {
@@ -324,9 +350,12 @@
 }
 
 bool Placer::ExcludesAllUpstreams(const PlaceRequest& request) const {
-  const auto usable = upstreams_.UsableInPool(request.pool.name);
-  return !usable.empty() &&
-         std::all_of(usable.begin(), usable.end(),
+  const auto usable = UsableFor(request);
+  if (usable.empty()) {
+    return request.begun_at &&
+           !upstreams_.UsableInPool(request.pool.name).empty();
+  }
+  return std::all_of(usable.begin(), usable.end(),
                      [&request](const fleet::Upstream* upstream) {
                        return request.excluded.contains(upstream->id);
                      });
@@ -335,8 +364,7 @@
 std::optional<Millis> Placer::SendableAt(const PlaceRequest& request) const {
   const Millis now = clock_.Now();
   std::optional<Millis> soonest;
-  for (const fleet::Upstream* upstream :
-       upstreams_.UsableInPool(request.pool.name)) {
+  for (const fleet::Upstream* upstream : UsableFor(request)) {
     if (request.excluded.contains(upstream->id)) {
       continue;
     }
@@ -354,7 +382,7 @@
   if (waiting == waiting_.end()) {
     return;
   }
-  PoolQueue& pool_queue = queues_[waiting->second.request.pool.name];
+  PoolQueue& pool_queue = QueueFor(waiting->second.request);
   pool_queue.queue.Remove(ticket);
   pool_queue.UpdatePredictors(clock_.Now());
   waiting_.erase(waiting);
@@ -374,8 +402,19 @@
 }
 
 void Placer::DispatchWaiting() {
-  for (auto& [pool, pool_queue] : queues_) {
-    DispatchQueue(pool_queue);
+  // In this order, a pool's streams that go on come before its other requests.
+  for (auto item = queues_.rbegin(); item != queues_.rend(); ++item) {
+    DispatchQueue(item->second);
+  }
+  std::erase_if(queues_, [](const auto& item) {
+    return item.first.second && item.second.queue.size() == 0;
+  });
+}
+
+void Placer::DispatchBegun(const base::PoolName& pool) {
+  for (auto item = queues_.upper_bound({pool, std::nullopt});
+       item != queues_.end() && item->first.first == pool; ++item) {
+    DispatchQueue(item->second);
   }
 }
 
--- a/src/relay/placer.h
+++ b/src/relay/placer.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 
 #include "admission/fair_queue.h"
 #include "admission/wait_predictor.h"
@@ -31,6 +32,9 @@
   bool is_urgent = false;
   /// Upstreams that have failed this request.
   std::set<base::UpstreamId> excluded;
+  /// The version that began the stream, the only one at which it may go on. Not
+  /// set for requests that begin.
+  std::optional<base::SoftwareVersion> begun_at = {};
   /// Time at which the request gives up waiting.
   base::Millis wait_until{0};
   /// Target for the time to the answer, or to its first token, and when that
@@ -90,7 +94,7 @@
          Hooks hooks);
 
   /// Called with the place, or with nothing if every usable upstream has failed
-  /// the request.
+  /// the request, or none is left of the version that began its stream.
   using OnPlace = std::function<void(std::optional<migration::Place>)>;
 
   /// Returns a place with its load reserved, a ticket in the queue, or neither
@@ -103,11 +107,15 @@
   /// capacity now. Ignores the queue.
   std::optional<migration::Place> TryPlace(const PlaceRequest& request);
   /// Chooses a migration target for `generation`, other than the engines in
-  /// `excluded`, and reserves its load there. Empty if no engine has capacity.
+  /// `excluded`, and reserves its load there. Empty if no engine of its version
+  /// has capacity.
   std::optional<migration::Place> ChooseMigrationTarget(
       const migration::ActiveGeneration& generation,
       const fleet::Pool& pool,
       const std::set<base::UpstreamId>& excluded);
+  /// Whether the upstream at `place` is listed with another version than when
+  /// it was chosen. Either may then have run what was sent there.
+  bool HasOtherVersion(const migration::Place& place) const;
   /// Learns from the time from sending a request to the head of its answer.
   void RecordAnswerTime(const migration::Place& place, base::Millis time);
   /// Learns from the time that an engine took for a token.
@@ -148,6 +156,13 @@
     }
   };
 
+  /// Returns the usable upstreams of the request's pool, only those of the
+  /// version that began it for a stream that goes on.
+  std::vector<const fleet::Upstream*> UsableFor(
+      const PlaceRequest& request) const;
+  PoolQueue& QueueFor(const PlaceRequest& request) {
+    return queues_[{request.pool.name, request.begun_at}];
+  }
   /// Returns the upstreams that the request may use by their versions, those to
   /// be preferred in the first list.
   rollout::VersionChoice ChooseVersions(const PlaceRequest& request) const;
@@ -165,10 +180,13 @@
   /// From when on a request that waits can't be answered on time any more.
   base::Millis LateAt(const PlaceRequest& request) const;
   const routing::FirstTokenModel& FirstTokens(const base::PoolName& pool) const;
-  /// Whether `request` excludes every usable upstream of its pool. False if
-  /// there is no usable upstream at all.
+  /// Whether `request` excludes every usable upstream of its pool, or goes on
+  /// with a stream of a version that none of them has. False if there is no
+  /// usable upstream at all, as one may be listed soon.
   bool ExcludesAllUpstreams(const PlaceRequest& request) const;
   void DispatchQueue(PoolQueue& pool_queue);
+  /// Places the streams of a pool that wait to go on.
+  void DispatchBegun(const base::PoolName& pool);
   /// Places what can be placed now. Returns the place of `ticket`, if it got
   /// one.
   std::optional<migration::Place> DispatchFor(PoolQueue& pool_queue,
@@ -195,7 +213,11 @@
   routing::UpstreamHealth& health_;
   routing::SelfReports& self_reports_;
   Hooks hooks_;
-  std::map<base::PoolName, PoolQueue> queues_;
+  /// Streams that go on wait apart, by version: where their version is full,
+  /// they don't hold up the requests that others can take.
+  std::map<std::pair<base::PoolName, std::optional<base::SoftwareVersion>>,
+           PoolQueue>
+      queues_;
   std::map<base::PoolName, routing::FirstTokenModel> first_tokens_;
   std::map<uint64_t, Waiting> waiting_;
   uint64_t last_ticket_ = 0;
--- a/src/relay/stream_forward.cc
+++ b/src/relay/stream_forward.cc
@@ -42,12 +42,6 @@
 // Events up to this size need no room of their own.
 constexpr size_t kSmallEventBytes = size_t{16} * 1024;
 
-// Whether a send that ended so certainly did not start the generation.
-bool DidNotRun(SendOutcome end) {
-  return end == SendOutcome::kNotSent || end == SendOutcome::kNotRun ||
-         end == SendOutcome::kOtherUpstream;
-}
-
 /// Forwards one generation, with retries and switches to KV cache copies.
 class StreamForwarder {
  public:
@@ -90,12 +84,12 @@
     if (!place) {
       co_return EndedWithoutPlace(wait);
     }
-    while (place) {
+    while (place && MayGoOn()) {
       request_.excluded.insert(place->upstream);
       generation_->place = std::move(*place);
       place = std::nullopt;
       const SendOutcome end = co_await GenerateAtPlace();
-      if (done_ || call_->ended() || may_crash_engines_) {
+      if (done_ || call_->ended() || may_crash_engines_ || !MayGoOn()) {
         break;
       }
       PrepareResume();
@@ -130,6 +124,11 @@
 
   Task<WaitResult> Wait() { return WaitForSend(services_, call_, request_); }
 
+  // Whether the version that began the stream is known, once it has begun.
+  bool MayGoOn() const {
+    return !started_ || !services_.placer.HasOtherVersion(generation_->place);
+  }
+
   ForwardResult Ended(SendOutcome end, std::string reason) {
     result_.end = end;
     if (result_.reason.empty()) {
@@ -180,6 +179,9 @@
   std::optional<migration::PlacedCopy> TakeCopy(SendOutcome end) {
     std::optional<migration::PlacedCopy> copy =
         std::exchange(copy_at_source_, std::nullopt);
+    if (!MayGoOn()) {
+      return std::nullopt;
+    }
     if (generation_->copy && !generation_->copy->cache.handle.empty()) {
       copy = std::exchange(generation_->copy, std::nullopt);
       if (copy->stopped_source) {
@@ -290,6 +292,11 @@
         evidence_->RecordFailedRead(*reply.connection);
         co_return co_await StreamBroke(std::string(piece.status().message()));
       }
+      if (!generation_->has_events && !MayGoOn()) {
+        evidence_->RecordOwnEnd();
+        co_return co_await StreamBroke(
+            "the engine restarted with another version");
+      }
       if (piece->empty()) {
         co_return co_await FinishStream(reply);
       }
@@ -397,6 +404,7 @@
 
   Task<absl::Status> StartAnswer(UpstreamReply& reply) {
     started_ = true;
+    request_.begun_at = generation_->place.version;
     call_->answer_started = true;
     result_.status = reply.head.status;
     http::Response head;
