Leave streams at the old version when a roll-out ends

From three quarters of a roll-out's time limit on, the generations at the old version were moved off their engines, until now to the new version, whose events don't fit together with theirs (rule ORDER). Bound to their version, they would be moved from one old engine to the next at every tick instead. Change: no stream is moved for a roll-out; the hook and its time go. They end where they began, and the completion waits for that until 0.88 of the time limit, as before.

--- a/src/kernel/fleet_daemon.cc
+++ b/src/kernel/fleet_daemon.cc
@@ -662,9 +662,6 @@
     hooks.running_on = [this](const UpstreamId& id) {
       return loads_.TotalLoad(id).running;
     };
-    hooks.evacuate = [this](const UpstreamId& id) {
-      migrator_.MigrateFrom(id, "its version is replaced");
-    };
     return hooks;
   }
 
--- a/src/rollout/plan.h
+++ b/src/rollout/plan.h
@@ -50,8 +50,6 @@
   static constexpr double kBaselineEnd = 0.08;
   static constexpr double kCanaryEnd = 0.35;
   static constexpr double kProbeEnd = 0.6;
-  /// When generations at the old version are moved instead of waited for.
-  static constexpr double kEvacuateAt = 0.75;
   /// When the old version is given up even if it is not empty.
   static constexpr double kDecideBy = 0.88;
   /// Longest time in which only the old version is watched.
@@ -75,10 +73,6 @@
 
   const Order& order() const { return order_; }
   State state() const { return state_; }
-  /// Whether generations at the old version should be moved now.
-  bool ShouldEvacuate(base::Millis now) const {
-    return state_ == State::kMoving && Elapsed(now) >= kEvacuateAt;
-  }
 
  private:
   /// What was counted from one time to another.
--- a/src/rollout/rollouts.cc
+++ b/src/rollout/rollouts.cc
@@ -57,9 +57,6 @@
     if (is_decider && !YieldsTo(rollout, now)) {
       Decide(name, rollout, now);
     }
-    if (rollout.plan.ShouldEvacuate(now)) {
-      EvacuateOld(rollout);
-    }
   }
 }
 
@@ -126,15 +123,6 @@
   return evidence;
 }
 
-void Rollouts::EvacuateOld(const Rollout& rollout) {
-  for (const fleet::Upstream* upstream :
-       upstreams_.UsableInPool(rollout.order().pool)) {
-    if (upstream->entry.version != rollout.order().target) {
-      hooks_.evacuate(upstream->id);
-    }
-  }
-}
-
 std::optional<VersionRule> Rollouts::RuleFor(const base::PoolName& pool,
                                              Millis now) const {
   for (const auto& [name, rollout] : rollouts_) {
--- a/src/rollout/rollouts.h
+++ b/src/rollout/rollouts.h
@@ -45,8 +45,6 @@
     std::function<bool()> is_decider;
     /// Requests of the fleet that run at an upstream.
     std::function<int64_t(const base::UpstreamId&)> running_on;
-    /// Moves this daemon's generations away from an upstream.
-    std::function<void(const base::UpstreamId&)> evacuate;
     /// A decision was made or heard that differs from the one before.
     std::function<void(const Decision&, std::string_view reason)> on_decision;
   };
@@ -164,7 +162,6 @@
                 double share,
                 std::string_view reason,
                 base::Millis now);
-  void EvacuateOld(const Rollout& rollout);
 
   base::HostId self_;
   const fleet::UpstreamList& upstreams_;
--- a/test/forward-support.cc
+++ b/test/forward-support.cc
@@ -189,9 +189,6 @@
                 [this](const base::UpstreamId& id) {
                   return loads.TotalLoad(id).running;
                 },
-                [this](const base::UpstreamId& id) {
-                  migrator->MigrateFrom(id, "its version is replaced");
-                },
                 [](const rollout::Decision&, std::string_view) {}}),
       clock_([this, host = base::Clock::BootTime()] {
         return host.Now() + clock_offset_;
--- a/test/peer-fuzz-test.cc
+++ b/test/peer-fuzz-test.cc
@@ -372,7 +372,6 @@
   rollout::Rollouts::Hooks hooks;
   hooks.is_decider = [&damage] { return damage.Draw(2) == 0; };
   hooks.running_on = [](const UpstreamId&) { return int64_t{0}; };
-  hooks.evacuate = [](const UpstreamId&) {};
   hooks.on_decision = [](const rollout::Decision&, std::string_view) {};
   rollout::Rollouts rollouts(HostId("a"), upstreams, {}, std::move(hooks));
   rollout::Order order;
--- a/test/rollout-fleet.cc
+++ b/test/rollout-fleet.cc
@@ -63,7 +63,6 @@
   Rollouts::Hooks hooks;
   hooks.is_decider = [this, index] { return deciders.contains(index); };
   hooks.running_on = [](const UpstreamId&) { return 1; };
-  hooks.evacuate = [](const UpstreamId&) {};
   hooks.on_decision = [this, index](const rollout::Decision& decision,
                                     std::string_view reason) {
     if (decision.decider == HostOf(index)) {
--- a/test/version-order-test.cc
+++ b/test/version-order-test.cc
@@ -204,5 +204,34 @@
   CHECK(new_engine->seen().size() == 1);
 }
 
+TEST_CASE("a roll-out that ends moves streams among old engines", "[order]") {
+  VersionFixture fixture("2", false);
+  const FakeUpstream& same = fixture.AddEngine("u-3", kOld);
+  rollout::Order order;
+  order.pool = base::PoolName("draft");
+  order.target = kNew;
+  order.time_limit = base::Millis(100'000);
+  fixture.rollouts.SetOrder(base::RolloutName("n"), order, fixture.Now());
+  rollout::Decision decision;
+  decision.name = base::RolloutName("n");
+  decision.pool = order.pool;
+  decision.target = kNew;
+  decision.sequence = 1;
+  decision.state = rollout::State::kMoving;
+  decision.share = 1;
+  decision.order_age = base::Millis(80'000);
+  decision.decider = base::HostId("a");
+  fixture.rollouts.ApplyDecision({decision, base::Millis(0)}, fixture.Now());
+  fixture.rollouts.Tick(fixture.Now());
+  fixture.RunUntilIdle();
+  CHECK(fixture.engines.copies == 0);
+  fixture.pausable.Resume();
+  REQUIRE(fixture.Await());
+  REQUIRE(fixture.answer.ok());
+  CHECK(fixture.answer->body == EventsUpTo(6));
+  CHECK(same.seen().empty());
+  CHECK(fixture.target->seen().empty());
+}
+
 }  // namespace
 }  // namespace dandelion::test
