Keep which versions each pool's upstreams have had

A caller that takes up a stream names an attempt that no daemon may know any more, after all of them were killed. Which version began it is then known only if there was but one. Change: VersionHistory records once a second and with each new entry which versions are listed, and names the only one since a time, if the list was verified all along (a gap of 3 s or more makes it unknown); the daemon has OnlyVersion for a pool and the longest time that a stream may be old. Nothing uses it yet.

--- a/src/kernel/fleet_daemon.cc
+++ b/src/kernel/fleet_daemon.cc
@@ -10,6 +10,7 @@
 #include "admission/part_quarantine.h"
 #include "admission/stop_deadline.h"
 #include "fleet/fleet_state.h"
+#include "fleet/version_history.h"
 #include "http/server.h"
 #include "kernel/connection_limit.h"
 #include "kernel/loop_monitor.h"
@@ -59,6 +60,7 @@
 // ago than this; engines are then polled for their own reports.
 constexpr Millis kStoreSilentAfter{1200};
 constexpr Millis kEngineReportInterval{300};
+constexpr Millis kVersionRecordInterval{1000};
 // Not ready if the configuration was last verified longer ago than this.
 constexpr Millis kMaxReadyConfigAge{3500};
 // A drain lasts at least this long, within `stop_grace`, because callers may
@@ -351,6 +353,7 @@
       }
       peer_traffic_.Measure([this] { mesh_.Tick(); });
       peer_traffic_.Tick(mesh_.IsDelegate(), mesh_.link_count());
+      RecordVersions(now);
       upstreams_.Prune(now);
       self_reports_.Prune(
           [this](const UpstreamId& id) {
@@ -397,6 +400,24 @@
     store_silent_ = silent;
   }
 
+  void RecordVersions(Millis now) {
+    if (now - versions_recorded_at_ < kVersionRecordInterval) {
+      return;
+    }
+    versions_recorded_at_ = now;
+    const bool is_current = fleet_state_.VerificationAgeOf(Topic::kUpstreams) <=
+                            fleet::VersionHistory::kMaxGap;
+    version_history_.Record(upstreams_, is_current, now);
+  }
+
+  // The only version of a pool that can have begun a stream in the last
+  // `longest`. Empty if it is not known.
+  std::optional<base::SoftwareVersion> OnlyVersion(const base::PoolName& pool,
+                                                   Millis longest) const {
+    const Millis now = clock_.Now();
+    return version_history_.OnlyVersion(pool, now - longest, now);
+  }
+
   bool StoreUpdatesAreLate() const {
     return store_silent_ || mesh_.IsStoreSlow() ||
            (reader_election_.is_reader() && follower_.is_store_slow());
@@ -538,6 +559,7 @@
   fleet::UpstreamList::Hooks UpstreamHooks() {
     fleet::UpstreamList::Hooks hooks;
     hooks.on_listed = [this](const fleet::Upstream& upstream) {
+      version_history_.RecordListed(upstream, clock_.Now());
       self_reports_.OnListed(upstream.id, upstream.entry.started_at,
                              clock_.Now());
       Emit(Event::kUpstreamListed,
@@ -776,6 +798,8 @@
   Millis started_at_;
   Registry registry_;
   telemetry::Metrics metrics_;
+  fleet::VersionHistory version_history_;
+  Millis versions_recorded_at_{0};
   fleet::UpstreamList upstreams_;
   fleet::FleetState fleet_state_;
   store::ReaderElection reader_election_;
