Show that streams taken up by callers are joined from two versions

A caller takes a stream up again with Last-Event-Id and names in Resumes the request that began it. Daemons don't read Resumes and choose any engine, so that the caller gets the rest from another version, with nothing in the answer that shows it.

The fake store takes several records in one append, as the store does.

--- a/test/fake-store.cc
+++ b/test/fake-store.cc
@@ -125,6 +125,10 @@
   }
 }
 
+size_t FakeStore::CountRecords(const std::string& topic) {
+  return topics_[topic].items.size();
+}
+
 std::string FakeStore::NewestValue(const std::string& key,
                                    const std::string& topic) {
   const std::vector<Item>& items = topics_[topic].items;
@@ -209,12 +213,21 @@
     return http::JsonResponse(412,
                               json({{"end", records.items.size()}}).dump());
   }
-  const std::string_view record = std::string_view(body).substr(kLengthBytes);
-  const size_t key_length = static_cast<unsigned char>(record.at(0));
-  records.items.push_back({std::string(record.substr(1, key_length)),
-                           std::string(record.substr(1 + key_length))});
+  const size_t first = records.items.size();
+  std::string_view rest = body;
+  while (!rest.empty()) {
+    size_t length = 0;
+    for (const char octet : rest.substr(0, kLengthBytes)) {
+      length = length << 8 | static_cast<unsigned char>(octet);
+    }
+    const std::string_view record = rest.substr(kLengthBytes, length);
+    rest.remove_prefix(kLengthBytes + length);
+    const size_t key_length = static_cast<unsigned char>(record.at(0));
+    records.items.push_back({std::string(record.substr(1, key_length)),
+                             std::string(record.substr(1 + key_length))});
+  }
   return http::JsonResponse(
-      200, json({{"offset", records.items.size() - 1}}).dump());
+      200, json({{"offset", first}, {"end", records.items.size()}}).dump());
 }
 
 Task<http::Response> FakeStore::Answer(const http::Request& request,
--- a/test/fake-store.h
+++ b/test/fake-store.h
@@ -50,6 +50,8 @@
   void AppendRaw(const std::string& bytes, const std::string& topic);
   /// The newest value of a key; empty if there is none.
   std::string NewestValue(const std::string& key, const std::string& topic);
+  /// Number of records that were ever appended to `topic`.
+  size_t CountRecords(const std::string& topic);
   /// Deletes all records from the logs: reads that start before the current end
   /// fail with 410, while the newest records can still be read.
   void TruncateHistory();
--- /dev/null
+++ b/test/stream-origins-test.cc
@@ -0,0 +1,334 @@
+// Streams that callers take up again, at daemons in processes of their own.
+#include <catch2/catch.hpp>
+
+#include "absl/strings/str_cat.h"
+#include "test/daemon-support.h"
+
+namespace dandelion::test {
+namespace {
+
+using base::Millis;
+using base::Task;
+using nlohmann::json;
+
+constexpr int kStreams = 12;
+constexpr int kOk = 200;
+constexpr int kLastBegunEvent = 3;
+constexpr int kLastEvent = 5;
+constexpr char kOriginsTopic[] = "keyed.streams";
+// Time that origins get to become durable. Checks don't depend on it.
+constexpr Millis kRecordTime{5000};
+
+/// Engines of two versions, which begin streams without ending them and go on
+/// with those that are taken up.
+struct OrderFixture : PlatformFixture {
+  OrderFixture()
+      : old_engine(context.get_executor(), Serve),
+        new_engine_1(context.get_executor(), Serve),
+        new_engine_2(context.get_executor(), Serve),
+        other_engine(context.get_executor(), Serve),
+        service(context.get_executor(), RespondWithAnswer) {
+    store.AppendRecord("config", MakeConfig().dump(), "keyed.op");
+    store.AppendRecord("s-1", MakeUpstreamEntry("services", service, 9).dump());
+    List("old-1", "engines", "v1", old_engine);
+  }
+  ~OrderFixture() {
+    for (FakeUpstream* upstream :
+         {&old_engine, &new_engine_1, &new_engine_2, &other_engine, &service}) {
+      upstream->CloseAll();
+    }
+    EndTasks();
+  }
+
+  static Task<void> Serve(http::Exchange& exchange) {
+    const bool taken_up = exchange.request().headers.Has("Last-Event-Id");
+    http::Response head = SealedResponse(exchange.request(), "");
+    head.headers.Add("Content-Type", "text/event-stream");
+    (void)co_await exchange.StartStream(std::move(head));
+    const int first = taken_up ? kLastBegunEvent + 1 : 1;
+    const int last = taken_up ? kLastEvent : kLastBegunEvent;
+    for (int id = first; id <= last; ++id) {
+      const std::string event = EventText(id);
+      (void)co_await exchange.Write(event);
+    }
+    if (taken_up) {
+      (void)co_await exchange.Finish();
+    } else {
+      exchange.HoldOpen();
+    }
+  }
+
+  static json MakeStreamRoute(const std::string& name) {
+    json route = MakeRoute(name, "stream", "engines");
+    route["can-resume"] = true;
+    return route;
+  }
+
+  static json MakeConfig() {
+    json split = MakeStreamRoute("split");
+    split["split"] = {{{"backend", "engines"}, {"weight", 50}},
+                      {{"backend", "others"}, {"weight", 50}}};
+    const json engine = {{"slots", 100}, {"kv-cap-tokens", 1'000'000}};
+    return {{"version", 1},
+            {"routes",
+             {MakeStreamRoute("draft"), split,
+              MakeRoute("ping", "idempotent", "services")}},
+            {"backends",
+             {{{"name", "engines"}, {"engine", engine}},
+              {{"name", "others"}, {"engine", engine}},
+              {{"name", "services"}}}}};
+  }
+
+  void List(const std::string& id,
+            const std::string& pool,
+            const std::string& version,
+            const FakeUpstream& upstream) {
+    json entry = MakeUpstreamEntry(pool, upstream, 100);
+    entry["version"] = version;
+    store.AppendRecord(id, entry.dump());
+  }
+  void ListNewEngines() {
+    List("new-1", "engines", "v2", new_engine_1);
+    List("new-2", "engines", "v2", new_engine_2);
+  }
+
+  /// Starts a daemon and waits until it serves.
+  std::unique_ptr<RunningDaemon> Start(const std::string& host) {
+    more_settings["host"] = host;
+    auto daemon = std::make_unique<RunningDaemon>(*this);
+    daemon->SendUntilTaken("ping", service);
+    return daemon;
+  }
+
+  bool HasListed(const RunningDaemon& daemon, const std::string& id) {
+    return RunUntil([&] {
+      return !daemon.LoggedLines("name=upstream_listed upstream=" + id).empty();
+    });
+  }
+
+  /// Begins streams with the ids 1 to `kStreams`, whose callers get the first
+  /// events.
+  std::vector<std::unique_ptr<Caller>> BeginStreams(
+      const RunningDaemon& daemon,
+      const std::string& route = "draft") {
+    std::vector<std::unique_ptr<Caller>> callers;
+    for (int id = 1; id <= kStreams; ++id) {
+      callers.push_back(std::make_unique<Caller>(context));
+      REQUIRE(callers.back()->SendRequest(daemon.address, id, route));
+    }
+    REQUIRE(RunUntil([&] {
+      return std::all_of(
+          callers.begin(), callers.end(), [](const auto& caller) {
+            return caller->received().find(EventText(kLastBegunEvent)) !=
+                   std::string::npos;
+          });
+    }));
+    return callers;
+  }
+
+  void AwaitOrigins() {
+    RunUntil([this] { return store.CountRecords(kOriginsTopic) >= kStreams; },
+             kRecordTime);
+  }
+
+  /// Takes one stream up. Returns when the answer is complete.
+  std::unique_ptr<Caller> TakeUp(const RunningDaemon& daemon,
+                                 const std::string& resumes,
+                                 const std::string& route = "draft") {
+    auto caller = std::make_unique<Caller>(context);
+    const std::string headers =
+        absl::StrCat("Last-Event-Id: ", kLastBegunEvent, "\r\n", resumes);
+    REQUIRE(
+        caller->SendRequest(daemon.address, ++last_take_up_, route, headers));
+    REQUIRE(RunUntil([&] {
+      const std::string& received = caller->received();
+      return received.find("\r\n0\r\n") != std::string::npos ||
+             received.find("\"error\"") != std::string::npos;
+    }));
+    return caller;
+  }
+  std::unique_ptr<Caller> TakeUp(const RunningDaemon& daemon,
+                                 int stream,
+                                 const std::string& route = "draft") {
+    return TakeUp(daemon, absl::StrCat("Resumes: r-", stream, "\r\n"), route);
+  }
+
+  /// Takes all streams up. Returns how many of them went on to their end.
+  int TakeAllUp(const RunningDaemon& daemon,
+                const std::string& route = "draft") {
+    int went_on = 0;
+    for (int stream = 1; stream <= kStreams; ++stream) {
+      const auto caller = TakeUp(daemon, stream, route);
+      INFO(caller->received());
+      const bool is_whole =
+          caller->Status() == kOk &&
+          caller->received().find(EventText(kLastEvent)) != std::string::npos;
+      went_on += is_whole ? 1 : 0;
+      CHECK((is_whole || caller->Status() == RunningDaemon::kRejected));
+    }
+    return went_on;
+  }
+
+  static int CountTakenUp(const FakeUpstream& upstream) {
+    return static_cast<int>(
+        std::count_if(upstream.seen().begin(), upstream.seen().end(),
+                      [](const auto& request) {
+                        return request.headers.Has("Last-Event-Id");
+                      }));
+  }
+  int TakenUpByOtherVersions() const {
+    return CountTakenUp(new_engine_1) + CountTakenUp(new_engine_2) +
+           CountTakenUp(other_engine);
+  }
+
+  FakeUpstream old_engine;
+  FakeUpstream new_engine_1;
+  FakeUpstream new_engine_2;
+  FakeUpstream other_engine;
+  FakeUpstream service;
+
+ private:
+  int last_take_up_ = 1000;
+};
+
+TEST_CASE("streams taken up at their daemon go on at the version that began",
+          "[order]") {
+  OrderFixture fixture;
+  const auto daemon = fixture.Start("front-1");
+  { const auto callers = fixture.BeginStreams(*daemon); }
+  fixture.ListNewEngines();
+  REQUIRE(fixture.HasListed(*daemon, "new-2"));
+  CHECK(fixture.TakeAllUp(*daemon) == kStreams);
+  CHECK(fixture.TakenUpByOtherVersions() == 0);
+}
+
+TEST_CASE("streams taken up at another daemon go on at the version that began",
+          "[order]") {
+  OrderFixture fixture;
+  const auto first = fixture.Start("front-1");
+  const auto second = fixture.Start("front-2");
+  { const auto callers = fixture.BeginStreams(*first); }
+  fixture.ListNewEngines();
+  REQUIRE(fixture.HasListed(*second, "new-2"));
+  fixture.AwaitOrigins();
+  CHECK(fixture.TakeAllUp(*second) == kStreams);
+  CHECK(fixture.TakenUpByOtherVersions() == 0);
+}
+
+TEST_CASE("streams taken up after all daemons were killed are joined from one",
+          "[order]") {
+  OrderFixture fixture;
+  auto first = fixture.Start("front-1");
+  auto second = fixture.Start("front-2");
+  const auto callers = fixture.BeginStreams(*first);
+  fixture.AwaitOrigins();
+  first.reset();
+  second.reset();
+  fixture.ListNewEngines();
+  first = fixture.Start("front-1");
+  second = fixture.Start("front-2");
+  CHECK(fixture.TakeAllUp(*second) == kStreams);
+  CHECK(fixture.TakenUpByOtherVersions() == 0);
+}
+
+TEST_CASE("streams whose version is gone after a kill are refused", "[order]") {
+  OrderFixture fixture;
+  auto daemon = fixture.Start("front-1");
+  const auto callers = fixture.BeginStreams(*daemon);
+  fixture.AwaitOrigins();
+  daemon.reset();
+  fixture.ListNewEngines();
+  fixture.store.AppendRecord("old-1", "");
+  daemon = fixture.Start("front-1");
+  CHECK(fixture.TakeAllUp(*daemon) == 0);
+  CHECK(fixture.TakenUpByOtherVersions() == 0);
+  CHECK(fixture.CountTakenUp(fixture.old_engine) == 0);
+  const auto refused = fixture.TakeUp(*daemon, 1);
+  CHECK(refused->received().find("Retry-After: ") != std::string::npos);
+}
+
+TEST_CASE("streams taken up while the store is away are not joined",
+          "[order]") {
+  OrderFixture fixture;
+  const auto first = fixture.Start("front-1");
+  const auto second = fixture.Start("front-2");
+  { const auto callers = fixture.BeginStreams(*first); }
+  fixture.ListNewEngines();
+  REQUIRE(fixture.HasListed(*first, "new-2"));
+  REQUIRE(fixture.HasListed(*second, "new-2"));
+  fixture.AwaitOrigins();
+  fixture.store.FailWith(503);
+  CHECK(fixture.TakeAllUp(*first) == kStreams);
+  fixture.TakeAllUp(*second);
+  CHECK(fixture.TakenUpByOtherVersions() == 0);
+}
+
+TEST_CASE("a stream that is unknown, or named oddly, is not guessed at",
+          "[order]") {
+  OrderFixture fixture;
+  fixture.ListNewEngines();
+  const auto daemon = fixture.Start("front-1");
+  REQUIRE(fixture.HasListed(*daemon, "new-2"));
+  for (const std::string& resumes :
+       {std::string(), std::string("Resumes: \r\n"),
+        std::string("Resumes: r-never\r\n"),
+        "Resumes: " + std::string(300, 'x') + "\r\n",
+        std::string("Resumes: \xff\xfe#%&=/\"\\{}\r\n")}) {
+    const auto caller = fixture.TakeUp(*daemon, resumes);
+    INFO(caller->received());
+    CHECK(caller->Status() == RunningDaemon::kRejected);
+  }
+  const auto twice =
+      fixture.TakeUp(*daemon, "Resumes: r-1\r\nResumes: r-2\r\n");
+  constexpr int kBadRequest = 400;
+  CHECK(twice->Status() == kBadRequest);
+  CHECK(fixture.TakenUpByOtherVersions() == 0);
+  CHECK(fixture.CountTakenUp(fixture.old_engine) == 0);
+}
+
+TEST_CASE("streams of a split route go on in the pool where they began",
+          "[order]") {
+  OrderFixture fixture;
+  fixture.List("other-1", "others", "v1", fixture.other_engine);
+  auto daemon = fixture.Start("front-1");
+  REQUIRE(fixture.HasListed(*daemon, "other-1"));
+  const auto callers = fixture.BeginStreams(*daemon, "split");
+  fixture.AwaitOrigins();
+  const size_t begun = fixture.old_engine.seen().size();
+  const size_t begun_at_other = fixture.other_engine.seen().size();
+  CHECK(begun + begun_at_other == kStreams);
+  daemon.reset();
+  daemon = fixture.Start("front-1");
+  REQUIRE(fixture.HasListed(*daemon, "other-1"));
+  CHECK(fixture.TakeAllUp(*daemon, "split") == kStreams);
+  CHECK(fixture.old_engine.seen().size() == 2 * begun);
+  CHECK(fixture.other_engine.seen().size() == 2 * begun_at_other);
+}
+
+TEST_CASE("records of streams from another writer change no other stream",
+          "[order]") {
+  OrderFixture fixture;
+  auto daemon = fixture.Start("front-1");
+  const auto callers = fixture.BeginStreams(*daemon);
+  fixture.AwaitOrigins();
+  daemon.reset();
+  fixture.ListNewEngines();
+  const std::string hex(32, 'a');
+  for (const std::string& key :
+       {std::string("a"), std::string("a02%#"), hex, hex + ".0", hex + ".x",
+        std::string(255, 'z')}) {
+    for (const std::string& value :
+         {std::string("\xff\xfe"), std::string("[]"), std::string("{}"),
+          std::string(R"({"pool": 1, "version": [], "at": "x"})"),
+          std::string(
+              R"({"pool": "engines", "version": "v2", "at": 1e300})")}) {
+      fixture.store.AppendRecord(key, value, kOriginsTopic);
+    }
+  }
+  daemon = fixture.Start("front-1");
+  CHECK(fixture.TakeAllUp(*daemon) == kStreams);
+  CHECK(fixture.TakenUpByOtherVersions() == 0);
+}
+
+}  // namespace
+}  // namespace dandelion::test
