Remove records of streams that killed daemons left, without a question

A record that a killed daemon left in the topic of streams' origins was found only when a caller asked the daemon that acts for the fleet for a stream. With none that asks, the topic grows with every kill of daemons.

That daemon now reads the topic every five minutes.

--- a/src/relay/stream_origins.cc
+++ b/src/relay/stream_origins.cc
@@ -46,13 +46,14 @@
                              base::Clock clock,
                              store::StreamOriginStore& store,
                              Hooks hooks)
-    : clock_(clock),
+    : clock_(std::move(clock)),
       store_(store),
       hooks_(std::move(hooks)),
-      reader_(executor, clock, store, hooks_.unix_now),
+      reader_(executor, clock_, store, hooks_.unix_now),
       calls_counted_at_(clock_.Now()),
       called_at_(clock_.Now()),
       checked_at_(clock_.Now()),
+      searched_at_(clock_.Now()),
       backoff_(std::random_device{}()) {}
 
 void StreamOrigins::Begin(const base::RequestId& id,
@@ -130,6 +131,7 @@
 
 Task<void> StreamOrigins::Keep() {
   for (;;) {
+    co_await FindLeftovers();
     Expire();
     CheckStoreEra();
     if (!HasCall()) {
@@ -149,6 +151,17 @@
   }
 }
 
+Task<void> StreamOrigins::FindLeftovers() {
+  const Millis now = clock_.Now();
+  if (now - searched_at_ < kSearchInterval || !hooks_.removes_leftovers()) {
+    co_return;
+  }
+  searched_at_ = now;
+  // What it finds is removed once the origins are checked; a failure is logged
+  // by the reader.
+  (void)co_await reader_.Read(kMaxReadTime);
+}
+
 void StreamOrigins::Expire() {
   const Millis now = clock_.Now();
   if (now - checked_at_ < kCheckInterval) {
--- a/src/relay/stream_origins.h
+++ b/src/relay/stream_origins.h
@@ -57,6 +57,8 @@
   /// Origins of streams that have ended are kept for this long, as a caller may
   /// have missed the end.
   static constexpr base::Millis kEndedKeptFor{5000};
+  /// How often the store is read for records that others have left behind.
+  static constexpr base::Millis kSearchInterval{300'000};
   /// Most streams whose origins are kept; further ones are unknown.
   static constexpr size_t kMaxKept = 20'000;
 
@@ -104,6 +106,8 @@
     int sequence = 0;
   };
 
+  /// Reads the store for records that others have left behind, now and then.
+  base::Task<void> FindLeftovers();
   /// Drops what callers no longer take up, and queues its removal.
   void Expire();
   void QueueRemovals(const std::string& key, const Kept& kept);
@@ -133,6 +137,7 @@
   base::Millis calls_counted_at_;
   base::Millis called_at_;
   base::Millis checked_at_;
+  base::Millis searched_at_;
   store::RetryBackoff backoff_;
   /// Something was queued.
   base::Condition queued_;
--- a/test/origin-records-test.cc
+++ b/test/origin-records-test.cc
@@ -47,6 +47,13 @@
     }
     return true;
   }
+  /// Runs what is ready now, and what that leads to.
+  void RunAWhile() {
+    for (int turn = 0; turn < 20; ++turn) {
+      context.restart();
+      context.poll();
+    }
+  }
   StreamOrigins::Found Find(StreamOrigins& from, const std::string& id) {
     std::optional<StreamOrigins::Found> found;
     const auto run = [&]() -> base::Task<void> {
@@ -93,10 +100,7 @@
   const auto begin_and_run = [&] {
     fixture.origins->Begin(RequestId("r-" + std::to_string(++begun)), At("v1"),
                            kKeepFor);
-    for (int turn = 0; turn < 20; ++turn) {
-      fixture.context.restart();
-      fixture.context.poll();
-    }
+    fixture.RunAWhile();
   };
   for (int i = 0; i < 10; ++i) {
     begin_and_run();
@@ -227,7 +231,13 @@
   add("from the future", Millis(0) - relay::OriginReader::kMaxAge);
   CHECK(!fixture.Find(*fixture.origins, "old").origin);
   CHECK(fixture.Find(*fixture.origins, "young").origin.has_value());
-  fixture.now = fixture.now + StreamOrigins::kRemovalInterval;
+  fixture.removes_leftovers = false;
+  fixture.now = fixture.now + StreamOrigins::kSearchInterval;
+  fixture.RunAWhile();
+  CHECK(fixture.CountRecords(true) == 0);
+  add("old", relay::OriginReader::kMaxAge + Millis(1));
+  fixture.removes_leftovers = true;
+  fixture.now = fixture.now + StreamOrigins::kSearchInterval;
   REQUIRE(fixture.RunUntil([&] { return fixture.CountRecords(true) > 0; }));
   REQUIRE(fixture.CountRecords(true) == 1);
   CHECK(fixture.store.log.back().key ==
