Give each refused take-up its reason, also on routes without engines

Callers whose stream's version was gone were told so only at pools of engines; at others the reason was a lack of capacity, and so were the log and its event.

The wait for an upstream now says whether any of the version can be used, and both kinds of forwarding take their outcome from it.

--- a/src/relay/attempt_rules.h
+++ b/src/relay/attempt_rules.h
@@ -40,6 +40,8 @@
 
 /// Returns the name that is written to the log.
 std::string_view ToString(SendOutcome end);
+/// Whether a send that ended so certainly did not start the request.
+bool DidNotRun(SendOutcome end);
 
 /// Returns whether a send that ended so certainly did not run the request.
 bool DidNotRun(SendOutcome end);
--- a/src/relay/place_wait.h
+++ b/src/relay/place_wait.h
@@ -19,6 +19,8 @@
   /// The request may no longer be sent, because a part of its prompt crashes
   /// engines.
   bool quarantined = false;
+  /// A stream goes on only at a version of which no upstream can be used.
+  bool version_gone = false;
 };
 
 /// Requests a place and waits for it until `request.wait_until`. Cancelling
--- a/src/relay/send_once.cc
+++ b/src/relay/send_once.cc
@@ -211,9 +211,11 @@
                              PlaceRequest request) {
   WaitResult wait;
   if (MaySend(services, *call)) {
-    wait = co_await WaitForPlace(services.placer, services.clock,
-                                 std::move(request), call->wake);
+    wait = co_await WaitForPlace(services.placer, services.clock, request,
+                                 call->wake);
   }
+  wait.version_gone =
+      !wait.place && request.begun_at && !services.placer.HasUsable(request);
   // The daemon may have begun to stop during the wait.
   if (!MaySend(services, *call)) {
     wait.place.reset();
@@ -230,15 +232,22 @@
   if (wait.stopping) {
     return SendOutcome::kStopping;
   }
-  return wait.quarantined ? SendOutcome::kQuarantined : SendOutcome::kNotSent;
+  if (wait.quarantined) {
+    return SendOutcome::kQuarantined;
+  }
+  return wait.version_gone ? SendOutcome::kVersionGone : SendOutcome::kNotSent;
 }
 
 std::string UnsentReason(const WaitResult& wait) {
   if (wait.stopping) {
     return std::string(kStoppingReason);
   }
-  return wait.quarantined ? std::string(kQuarantineReason)
-                          : "no upstream has enough free capacity";
+  if (wait.quarantined) {
+    return std::string(kQuarantineReason);
+  }
+  return wait.version_gone
+             ? "no upstream of the version that began the stream serves"
+             : "no upstream has enough free capacity";
 }
 
 void RecordBrokenAnswer(const ForwardServices& services,
--- a/src/relay/stream_forward.cc
+++ b/src/relay/stream_forward.cc
@@ -143,10 +143,6 @@
 
   ForwardResult EndedWithoutPlace(const WaitResult& wait) {
     result_.capacity_in = wait.capacity_in;
-    if (request_.begun_at && !services_.placer.HasUsable(request_)) {
-      return Ended(call_->EndReasonOr(SendOutcome::kVersionGone),
-                   "no upstream of the version that began the stream serves");
-    }
     return Ended(call_->EndReasonOr(UnsentOutcome(wait)), UnsentReason(wait));
   }
 
