Test take-ups of repeated streams, after a drill, and by the only version

Three cases of streams that callers take up had no test with a daemon: one that was repeated at a second version before its first event, one whose record the store lost in a drill, and one that is unknown where one version can have begun it.

The refusals' reasons and Retry-After are checked too. The fake store can lose a topic, names its Store-Era and answers 410 beyond its end, as the store does.

--- a/test/fake-store.cc
+++ b/test/fake-store.cc
@@ -129,6 +129,11 @@
   return topics_[topic].items.size();
 }
 
+void FakeStore::LoseRecords(const std::string& topic) {
+  topics_[topic] = Records();
+  ++era_;
+}
+
 std::string FakeStore::NewestValue(const std::string& key,
                                    const std::string& topic) {
   const std::vector<Item>& items = topics_[topic].items;
@@ -190,7 +195,7 @@
 http::Response FakeStore::MakeReadResponse(const Records& records,
                                            size_t from) {
   http::Response response;
-  if (from < records.first_kept) {
+  if (from < records.first_kept || from > records.items.size()) {
     response =
         http::JsonResponse(410, json({{"first", records.first_kept}}).dump());
     return response;
@@ -268,6 +273,7 @@
   } else {
     response = co_await Answer(request, *query);
   }
+  response.headers.Add("Store-Era", std::to_string(era_));
   (void)co_await exchange.Respond(std::move(response));
 }
 
--- a/test/fake-store.h
+++ b/test/fake-store.h
@@ -55,6 +55,9 @@
   /// Deletes all records from the logs: reads that start before the current end
   /// fail with 410, while the newest records can still be read.
   void TruncateHistory();
+  /// Comes back from a copy that lacks the records of `topic`, with the next
+  /// `Store-Era`.
+  void LoseRecords(const std::string& topic);
   /// Answers all further requests with `status`; 0 ends this.
   void FailWith(int status) { failure_status_ = status; }
   /// Called for every read of newest records; null for none.
@@ -92,6 +95,7 @@
   int failure_status_ = 0;
   Hook newest_hook_;
   PageOptions page_options_;
+  int era_ = 1;
   FakeUpstream server_;
 };
 
--- a/test/forward-support.cc
+++ b/test/forward-support.cc
@@ -229,7 +229,8 @@
       [this] {
         return relay::AdmissionState{catalogue_, catalogue_age, Millis(4000),
                                      stop.TimeLeft(clock_.Now())};
-      }});
+      },
+      [this](const base::PoolName&, Millis) { return only_version; }});
   callers_ = std::make_unique<http::Server>(
       executor(), http::ServerLimits(), [this](http::Exchange& exchange) {
         return forwarder_->Handle(exchange);
--- a/test/forward-support.h
+++ b/test/forward-support.h
@@ -177,6 +177,8 @@
   rollout::Rollouts rollouts;
   FakeOriginStore origin_store;
   std::unique_ptr<relay::StreamOrigins> origins;
+  /// The only version that can have begun any stream.
+  std::optional<base::SoftwareVersion> only_version;
 
  private:
   void RegisterUpstream(const std::string& id,
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -19,11 +19,17 @@
 using store::Update;
 
 json MakeSettingsJson() {
-  return {{"host", "front-1"},          {"data_centre", "dc-a"},
-          {"callers", "10.0.0.1:80"},   {"readiness", "10.0.0.1:81"},
-          {"metrics", "10.0.0.1:82"},   {"peer_address", "10.0.0.1:7200"},
-          {"seeds", {"10.0.0.2:8748"}}, {"store", "10.0.9.9:90"},
-          {"key_lifetime_ms", 5000},    {"repeat_ratio", nullptr}};
+  return {{"host", "front-1"},
+          {"data_centre", "dc-a"},
+          {"callers", "10.0.0.1:80"},
+          {"readiness", "10.0.0.1:81"},
+          {"metrics", "10.0.0.1:82"},
+          {"peer_address", "10.0.0.1:7200"},
+          {"seeds", {"10.0.0.2:8748"}},
+          {"store", "10.0.9.9:90"},
+          {"key_lifetime_ms", 5000},
+          {"repeat_ratio", nullptr},
+          {"store_writes_per_second", 40}};
 }
 
 TEST_CASE("settings with an invalid, unknown or missing field are rejected",
@@ -32,6 +38,7 @@
   REQUIRE(settings.ok());
   CHECK(settings->strict_max_key_age < Millis(5000));
   CHECK(settings->retry_ratio == 0.2);
+  CHECK(settings->store_writes_per_second == 40);
   // Only the host of a seed counts; the port is that of `peer_address`, which
   // is the same on all hosts.
   CHECK(settings->seeds == std::vector<std::string>{"10.0.0.2:7200"});
@@ -39,6 +46,7 @@
        std::map<std::string, json>{{"callers", "localhost:80"},
                                    {"host", ""},
                                    {"repeat_slack", -1},
+                                   {"store_writes_per_second", "many"},
                                    {"colour", "blue"}}) {
     json invalid = MakeSettingsJson();
     invalid[field] = value;
--- a/test/stream-origins-test.cc
+++ b/test/stream-origins-test.cc
@@ -2,6 +2,7 @@
 #include <catch2/catch.hpp>
 
 #include "absl/strings/str_cat.h"
+#include "relay/origin_reader.h"
 #include "test/daemon-support.h"
 
 namespace dandelion::test {
@@ -12,19 +13,28 @@
 using nlohmann::json;
 
 constexpr int kStreams = 12;
+// Few enough for the budget of repeats.
+constexpr int kRepeatedStreams = 3;
 constexpr int kOk = 200;
 constexpr int kLastBegunEvent = 3;
 constexpr int kLastEvent = 5;
 constexpr char kOriginsTopic[] = "keyed.streams";
 // Time that origins get to become durable. Checks don't depend on it.
 constexpr Millis kRecordTime{5000};
+constexpr int kRecordChecks = 500;
 
 /// Engines of two versions, which begin streams without ending them and go on
 /// with those that are taken up.
 struct OrderFixture : PlatformFixture {
   OrderFixture()
-      : old_engine(context.get_executor(), Serve),
-        new_engine_1(context.get_executor(), Serve),
+      : old_engine(context.get_executor(),
+                   [this](http::Exchange& exchange) {
+                     return ServeRepeated(exchange, &served_by_old);
+                   }),
+        new_engine_1(context.get_executor(),
+                     [this](http::Exchange& exchange) {
+                       return ServeRepeated(exchange, &served_by_new);
+                     }),
         new_engine_2(context.get_executor(), Serve),
         other_engine(context.get_executor(), Serve),
         service(context.get_executor(), RespondWithAnswer) {
@@ -58,6 +68,34 @@
     }
   }
 
+  /// Rejects the first send of each request to the route "repeated" once its
+  /// origin is recorded, and serves the second one.
+  Task<void> ServeRepeated(http::Exchange& exchange,
+                           std::set<std::string>* served) {
+    const http::Request& request = exchange.request();
+    const bool begins = request.Path().starts_with("/repeated/") &&
+                        !request.headers.Has("Last-Event-Id");
+    if (!begins) {
+      co_await Serve(exchange);
+      co_return;
+    }
+    const std::string id(request.headers.Find("X-Dandeliondyke-Request-Id"));
+    if (rejected.insert(id).second) {
+      const std::string key =
+          relay::OriginRecordKey(relay::OriginKey(base::RequestId(id)), 0);
+      for (int check = 0; check < kRecordChecks; ++check) {
+        if (!store.NewestValue(key, kOriginsTopic).empty()) {
+          break;
+        }
+        co_await base::SleepFor(Millis(kRecordTime.count() / kRecordChecks));
+      }
+      co_await RejectNotRun(exchange);
+      co_return;
+    }
+    served->insert(id);
+    co_await Serve(exchange);
+  }
+
   static json MakeStreamRoute(const std::string& name) {
     json route = MakeRoute(name, "stream", "engines");
     route["can-resume"] = true;
@@ -68,10 +106,12 @@
     json split = MakeStreamRoute("split");
     split["split"] = {{{"backend", "engines"}, {"weight", 50}},
                       {{"backend", "others"}, {"weight", 50}}};
+    json repeated = MakeStreamRoute("repeated");
+    repeated["max-attempts"] = 2;
     const json engine = {{"slots", 100}, {"kv-cap-tokens", 1'000'000}};
     return {{"version", 1},
             {"routes",
-             {MakeStreamRoute("draft"), split,
+             {MakeStreamRoute("draft"), split, repeated,
               MakeRoute("ping", "idempotent", "services")}},
             {"backends",
              {{{"name", "engines"}, {"engine", engine}},
@@ -106,13 +146,14 @@
     });
   }
 
-  /// Begins streams with the ids 1 to `kStreams`, whose callers get the first
+  /// Begins streams with the ids from 1 on, whose callers get the first
   /// events.
   std::vector<std::unique_ptr<Caller>> BeginStreams(
       const RunningDaemon& daemon,
-      const std::string& route = "draft") {
+      const std::string& route = "draft",
+      int streams = kStreams) {
     std::vector<std::unique_ptr<Caller>> callers;
-    for (int id = 1; id <= kStreams; ++id) {
+    for (int id = 1; id <= streams; ++id) {
       callers.push_back(std::make_unique<Caller>(context));
       REQUIRE(callers.back()->SendRequest(daemon.address, id, route));
     }
@@ -200,6 +241,10 @@
            CountTakenUp(other_engine);
   }
 
+  /// Requests to the route "repeated".
+  std::set<std::string> rejected;
+  std::set<std::string> served_by_old;
+  std::set<std::string> served_by_new;
   FakeUpstream old_engine;
   FakeUpstream new_engine_1;
   FakeUpstream new_engine_2;
@@ -264,6 +309,8 @@
   CHECK(fixture.CountTakenUp(fixture.old_engine) == 0);
   const auto refused = fixture.TakeUp(*daemon, 1);
   CHECK(refused->received().find("Retry-After: ") != std::string::npos);
+  CHECK(refused->received().find("no upstream of the version") !=
+        std::string::npos);
 }
 
 TEST_CASE("streams taken up while the store is away are not joined",
@@ -296,6 +343,9 @@
     const auto caller = fixture.TakeUp(*daemon, resumes);
     INFO(caller->received());
     CHECK(caller->Status() == RunningDaemon::kRejected);
+    CHECK(caller->received().find("not known which version") !=
+          std::string::npos);
+    CHECK(caller->received().find("Retry-After: ") != std::string::npos);
   }
   const auto twice =
       fixture.TakeUp(*daemon, "Resumes: r-1\r\nResumes: r-2\r\n");
@@ -325,6 +375,50 @@
   CHECK(fixture.ResumedAt(fixture.other_engine) == begun_at_other);
 }
 
+TEST_CASE("streams repeated at a second version go on at that one", "[order]") {
+  OrderFixture fixture;
+  fixture.List("new-1", "engines", "v2", fixture.new_engine_1);
+  auto daemon = fixture.Start("front-1");
+  REQUIRE(fixture.HasListed(*daemon, "new-1"));
+  const auto callers =
+      fixture.BeginStreams(*daemon, "repeated", kRepeatedStreams);
+  // The other version has rejected each stream, with its record written.
+  fixture.RunUntil(
+      [&fixture] {
+        return fixture.store.CountRecords(kOriginsTopic) >=
+               2 * kRepeatedStreams;
+      },
+      kRecordTime);
+  daemon.reset();
+  daemon = fixture.Start("front-1");
+  REQUIRE(fixture.HasListed(*daemon, "new-1"));
+  for (int stream = 1; stream <= kRepeatedStreams; ++stream) {
+    CHECK(fixture.TakeUp(*daemon, stream, "repeated")->Status() == kOk);
+  }
+  CHECK(fixture.ResumedAt(fixture.old_engine) == fixture.served_by_old);
+  CHECK(fixture.ResumedAt(fixture.new_engine_1) == fixture.served_by_new);
+}
+
+TEST_CASE("streams go on after the store came back from an older copy",
+          "[order]") {
+  OrderFixture fixture;
+  auto first = fixture.Start("front-1");
+  const auto second = fixture.Start("front-2");
+  auto callers = fixture.BeginStreams(*first);
+  fixture.ListNewEngines();
+  REQUIRE(fixture.HasListed(*second, "new-2"));
+  fixture.AwaitOrigins();
+  CHECK(fixture.TakeUp(*second, 1)->Status() == kOk);
+  fixture.store.LoseRecords(kOriginsTopic);
+  // The daemon hears of it when it writes the next origin.
+  Caller next(fixture.context);
+  REQUIRE(next.SendRequest(first->address, kStreams + 1));
+  fixture.AwaitOrigins();
+  first.reset();
+  CHECK(fixture.TakeAllUp(*second) == kStreams);
+  CHECK(fixture.TakenUpByOtherVersions() == 0);
+}
+
 TEST_CASE("records of streams from another writer change no other stream",
           "[order]") {
   OrderFixture fixture;
@@ -350,5 +444,25 @@
   CHECK(fixture.TakenUpByOtherVersions() == 0);
 }
 
+TEST_CASE("an unknown stream goes on where only one version can have begun it",
+          "[order]") {
+  ForwardFixture fixture("draft", fleet::RequestKind::kGeneration);
+  const FakeUpstream& engine =
+      fixture.AddUpstream("e-1", "draft", StreamUpTo(kLastEvent, true));
+  http::Request request = CallerRequestFor("draft", "r-2");
+  request.headers.Add("Last-Event-Id", std::to_string(kLastBegunEvent));
+  request.headers.Add("Resumes", "r-1");
+  const auto send = [&fixture, &request](const std::string& version) {
+    fixture.only_version = base::SoftwareVersion(version);
+    return fixture.SendRequestOrThrow(request).status;
+  };
+  CHECK(fixture.SendRequestOrThrow(request).status == RunningDaemon::kRejected);
+  CHECK(send("another") == RunningDaemon::kRejected);
+  CHECK(engine.seen().empty());
+  // The version of the fixture's upstreams.
+  CHECK(send("") == kOk);
+  CHECK(engine.seen().size() == 1);
+}
+
 }  // namespace
 }  // namespace dandelion::test
