Take up a stream of unknown origin at the only version that can have begun it

Daemons of before don't record what began a stream, and the store may be away as one begins; taken up at another daemon, it was refused with 503 also where one version only had been listed in all the time that its caller may have been at it. The daemon keeps that history (VersionHistory) and relay asks for it (ForwardServices::only_version), but nothing joined the two. Now the fleet's daemon does; the history counts only if the list was verified all that time. forward-test [order] has the case with a daemon's parts in one process.

--- a/src/kernel/fleet_daemon.cc
+++ b/src/kernel/fleet_daemon.cc
@@ -143,7 +143,10 @@
                     adapter_.engines, health_, self_reports_, retry_budget_,
                     metrics_, stop_, quarantine_, rollouts_.rollouts(),
                     origins_, [this] { return mesh_.DaemonCount(); },
-                    [this] { return MakeAdmissionState(); }}),
+                    [this] { return MakeAdmissionState(); },
+                    [this](const base::PoolName& pool, Millis longest) {
+                      return OnlyVersion(pool, longest);
+                    }}),
         caller_server_(
             executor,
             CallerLimits(),
