--- a/test/newest-pages-test.cc
+++ b/test/newest-pages-test.cc
@@ -326,5 +326,27 @@
   CHECK(fixture.AllRun());
 }
 
+// A daemon kept values of other writers that no part of it reads, until its
+// memory was exhausted.
+TEST_CASE("large values of keys that name nothing take no memory",
+          "[pages][pages_values]") {
+  constexpr size_t kKeys = 200;
+  constexpr size_t kRecordBytes = 250'000;
+  constexpr size_t kMaxKilobytes = 48 * 1024;
+  CycleFixture fixture;
+  fixture.store.SetPageOptions({.items = PageOptions::kMaxItems});
+  for (const char* topic : {kOperatorTopic, kUpstreamsTopic}) {
+    for (const std::string& key : HostileKeys(kKeys)) {
+      fixture.store.AppendRecord(key, std::string(kRecordBytes, 'A'), topic);
+    }
+  }
+  fixture.Start();
+  const bool served = fixture.AllServe("first");
+  CAPTURE(fixture.Growth(), fixture.StoreLines());
+  CHECK(served);
+  CHECK(fixture.Growth() <= kMaxKilobytes);
+  CHECK(fixture.AllRun());
+}
+
 }  // namespace
 }  // namespace dandelion::test
