End a read at keys whose bytes were replaced, without removals

A topic could stay unread for ever where a store shows key bytes that are not UTF-8 as U+FFFD: a page of such keys only gives no key to go on after, the next page brought no new key, and the read failed, each time.

Such a read now ends with what it has. The new case of [pages] failed before (the read was refused) and passes.

--- a/src/store/topic.cc
+++ b/src/store/topic.cc
@@ -29,7 +29,7 @@
       changed.push_back(record);
     }
   }
-  if (update.snapshot) {
+  if (update.snapshot && !update.incomplete) {
     RemoveAbsentKeys(update, &changed);
   }
   const bool contiguous = update.snapshot || !LeavesGap(update.from);
--- a/src/store/topic.h
+++ b/src/store/topic.h
@@ -41,6 +41,8 @@
   /// Of a snapshot: keys whose records could not be read. What is known of
   /// them stays as it is.
   std::set<std::string> unread_keys = {};
+  /// Of a snapshot: keys may be missing that were not removed.
+  bool incomplete = false;
 };
 
 /// A copy of a topic's newest records, with the time at which it was last
--- a/test/store-pages-test.cc
+++ b/test/store-pages-test.cc
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <string>
@@ -221,6 +222,40 @@
   CHECK(keys == exact);
 }
 
+// The read failed each time, and the topic with it.
+TEST_CASE("a page of nothing but replaced keys ends the read without removals",
+          "[pages][pages_items]") {
+  PagesFixture fixture;
+  PageOptions options;
+  options.items = GENERATE(1, 3);
+  options.key_bytes = KeyBytes::kReplaced;
+  fixture.store.SetPageOptions(options);
+  store::TopicReplica replica;
+  fixture.store.AppendRecord("config", "old");
+  fixture.store.AppendRecord("\xff\xff", "known");
+  const auto known = fixture.ReadFrom(0);
+  REQUIRE(known.ok());
+  Update empty;
+  empty.snapshot = true;
+  replica.Apply(empty, Millis(0));
+  replica.Apply(*known, Millis(0));
+  fixture.store.AppendRecord("config", "new");
+  for (int i = 0; i < 7; ++i) {
+    fixture.store.AppendRecord("\xff" + std::to_string(i), "value");
+  }
+  const auto update = fixture.ReadNewest();
+  REQUIRE(update.ok());
+  CHECK(update->incomplete);
+  replica.Apply(*update, Millis(1));
+  CHECK(replica.position() == update->to);
+  const Update snapshot = replica.MakeSnapshot();
+  CHECK(KeysOf(snapshot).contains("\xff\xff"));
+  CHECK(std::any_of(snapshot.records.begin(), snapshot.records.end(),
+                    [](const Record& record) {
+                      return record.key == "config" && record.value == "new";
+                    }));
+}
+
 TEST_CASE("escapes of half a character are read as the byte they stand for",
           "[pages][pages_items]") {
   PagesFixture fixture;
