--- a/test/store-pages-test.cc
+++ b/test/store-pages-test.cc
@@ -256,6 +256,20 @@
                     }));
 }
 
+// Such a character, as a pair of escapes, was taken for the mask of a byte.
+TEST_CASE("escaped characters at the end of the last plane are read as such",
+          "[pages][pages_items]") {
+  PagesFixture fixture;
+  fixture.AnswerWith(R"({"items": [
+      {"key": "\udbff\udf80", "value": "eA==", "offset": 0},
+      {"key": "\udbff\udfff", "value": "eA==", "offset": 1}],
+      "has-more": false, "end": 2})");
+  const auto update = fixture.ReadNewest();
+  REQUIRE(update.ok());
+  CHECK(KeysOf(*update) ==
+        std::set<std::string>{"\xf4\x8f\xbe\x80", "\xf4\x8f\xbf\xbf"});
+}
+
 TEST_CASE("escapes of half a character are read as the byte they stand for",
           "[pages][pages_items]") {
   PagesFixture fixture;
