Log the age of the configuration that a request went by

forward_done has `config_age_ms` as forward_refused has. The store of the tests gets what telling them apart needs: reads that wait as long as they ask to, and a way to the store per daemon that can hang, reset, refuse or be late, for one topic or all. No check is changed.

--- a/src/relay/forwarder.cc
+++ b/src/relay/forwarder.cc
@@ -202,6 +202,7 @@
        {{"request", call->admitted.caller.id.value()},
         {"route", call->admitted.route.name.value()},
         {"config", absl::StrCat(call->admitted.catalogue->version)},
+        {"config_age_ms", absl::StrCat(call->admitted.catalogue_age.count())},
         {"status", absl::StrCat(result.status)},
         {"reason", result.reason},
         {"sent", absl::StrCat(call->history.sent)},
--- a/src/relay/request_admission.cc
+++ b/src/relay/request_admission.cc
@@ -62,6 +62,7 @@
   }
   AdmittedRequest admitted;
   admitted.catalogue = state.catalogue;
+  admitted.catalogue_age = state.catalogue_age;
   admitted.route = *route;
   admitted.priority = route->priority;
   admitted.caller = *parsed;
--- a/src/relay/request_admission.h
+++ b/src/relay/request_admission.h
@@ -39,6 +39,8 @@
 /// A request that was admitted.
 struct AdmittedRequest {
   fleet::CataloguePtr catalogue;
+  /// Time since it was verified to be the newest, at the admission.
+  base::Millis catalogue_age{0};
   fleet::Route route;
   /// Empty for requests that need no API key.
   base::OrganisationId organisation;
--- a/test/fake-store.cc
+++ b/test/fake-store.cc
@@ -16,11 +16,14 @@
 
 // How long a read waits for new records, whatever wait it asks for.
 constexpr base::Millis kReadWait{50};
+// How often a read that waits looks for them.
+constexpr base::Millis kReadStep{10};
 constexpr int kOffsetBytes = 8;
 constexpr int kLengthBytes = 4;
 // A read ends with the record at which it exceeds this.
 constexpr size_t kReadBytes = 1024 * 1024;
 constexpr int kBadRequest = 400;
+constexpr int kUnavailable = 503;
 
 std::string BigEndian(uint64_t number, int bytes) {
   std::string text;
@@ -250,9 +253,13 @@
   }
   if (request.Path() == "/v1/log-read") {
     const size_t from = std::stoul(query.at("from"));
-    const bool available = from < records.items.size();
-    if (!available) {
-      co_await base::SleepFor(kReadWait);
+    const auto wait = query.find("wait-ms");
+    base::Millis left = honours_waits_ && wait != query.end()
+                            ? base::Millis(std::stoll(wait->second))
+                            : kReadWait;
+    while (from >= records.items.size() && left > base::Millis(0)) {
+      co_await base::SleepFor(kReadStep);
+      left = left - kReadStep;
     }
     co_return MakeReadResponse(records, from);
   }
@@ -262,9 +269,8 @@
   co_return http::JsonResponse(200, "{}");
 }
 
-Task<void> FakeStore::HandleRequest(http::Exchange& exchange) {
+Task<http::Response> FakeStore::Serve(const http::Request& request) {
   http::Response response;
-  const http::Request& request = exchange.request();
   const std::optional<Query> query = DecodeQuery(request.target);
   if (failure_status_ != 0) {
     response.status = failure_status_;
@@ -274,6 +280,55 @@
     response = co_await Answer(request, *query);
   }
   response.headers.Add("Store-Era", std::to_string(era_));
+  co_return response;
+}
+
+Task<void> FakeStore::HandleRequest(http::Exchange& exchange) {
+  (void)co_await exchange.Respond(co_await Serve(exchange.request()));
+}
+
+StoreDoor::StoreDoor(const base::Executor& executor, FakeStore& store)
+    : store_(store), server_(executor, [this](http::Exchange& exchange) {
+        return HandleRequest(exchange);
+      }) {}
+
+StoreFault StoreDoor::FaultOf(const http::Request& request) const {
+  if (fault_of_all_ != StoreFault::kNone) {
+    return fault_of_all_;
+  }
+  for (const auto& [topic, fault] : faults_) {
+    if (request.target.find("topic=" + topic + "&") != std::string::npos) {
+      return fault;
+    }
+  }
+  return StoreFault::kNone;
+}
+
+Task<void> StoreDoor::HandleRequest(http::Exchange& exchange) {
+  const http::Request& request = exchange.request();
+  if (FaultOf(request) == StoreFault::kLate) {
+    co_await base::SleepFor(kLateness);
+  }
+  bool hangs = FaultOf(request) == StoreFault::kHang;
+  http::Response response;
+  if (!hangs) {
+    response = co_await store_.Serve(request);
+    hangs = FaultOf(request) == StoreFault::kHang;
+  }
+  if (hangs) {
+    exchange.HoldOpen();
+    co_return;
+  }
+  switch (FaultOf(request)) {
+    case StoreFault::kReset:
+      exchange.Abort();
+      co_return;
+    case StoreFault::kRefuse:
+      response = http::JsonResponse(kUnavailable, "{}");
+      break;
+    default:
+      break;
+  }
   (void)co_await exchange.Respond(std::move(response));
 }
 
--- a/test/fake-store.h
+++ b/test/fake-store.h
@@ -58,6 +58,11 @@
   /// Comes back from a copy that lacks the records of `topic`, with the next
   /// `Store-Era`.
   void LoseRecords(const std::string& topic);
+  /// Lets reads wait for records as long as they ask to, as the platform's
+  /// store does. Otherwise they wait for a moment only.
+  void HonourWaits() { honours_waits_ = true; }
+  /// The store's answer to a request.
+  base::Task<http::Response> Serve(const http::Request& request);
   /// Answers all further requests with `status`; 0 ends this.
   void FailWith(int status) { failure_status_ = status; }
   /// Called for every read of newest records; null for none.
@@ -95,8 +100,44 @@
   int failure_status_ = 0;
   Hook newest_hook_;
   PageOptions page_options_;
+  bool honours_waits_ = false;
   int era_ = 1;
   FakeUpstream server_;
 };
 
+/// What a `StoreDoor` does with calls.
+enum class StoreFault { kNone, kHang, kReset, kRefuse, kLate };
+
+/// A way to a store that can fail for those who go through it, wholly or for
+/// one topic.
+class StoreDoor {
+ public:
+  /// Late calls wait for this long before the store gets them. Their clients
+  /// have given up by then.
+  static constexpr base::Millis kLateness{4000};
+
+  StoreDoor(const base::Executor& executor, FakeStore& store);
+
+  /// Fails calls that name `topic` from now on, also those that wait.
+  void Fail(const std::string& topic, StoreFault fault) {
+    faults_[topic] = fault;
+  }
+  /// Fails all calls.
+  void FailAll(StoreFault fault) { fault_of_all_ = fault; }
+  void Mend() {
+    faults_.clear();
+    fault_of_all_ = StoreFault::kNone;
+  }
+  boost::asio::ip::tcp::endpoint address() const { return server_.address(); }
+
+ private:
+  StoreFault FaultOf(const http::Request& request) const;
+  base::Task<void> HandleRequest(http::Exchange& exchange);
+
+  FakeStore& store_;
+  std::map<std::string, StoreFault> faults_;
+  StoreFault fault_of_all_ = StoreFault::kNone;
+  FakeUpstream server_;
+};
+
 }  // namespace dandelion::test
