Elect a reader for each topic by the age of its verification

What callers saw: a confirmed change was not in force at any daemon for as long as the calls of one daemon for the operators' topic hung, were reset, refused or late.

Cause: the election went by the age of the upstreams' topic alone. A reader that read that counted as one, others even stopped for it, and nobody else read the other topic. Its age could not have told them in time either: a read waited for 1 s and is verified as of its start, so that 2.6 s two hops on were normal, of the 2 s that a change may take. And a daemon that isn't a delegate waited up to 3.7 s where its delegates were heard but could not read.

Change: each topic has an election, a status of its reader on heartbeats, and a time of the last read. Reads of the operators' topic wait 250 ms, so that a verification is at most 0.5 s old at the reader and 1.1 s two hops on. Delegates take over at 1.0 to 1.4 s, all others at 1.5 to 1.65 s, so that a read and two messages still fit into 2 s. Heartbeats have two fields more; of an older daemon they are unset, which costs reads only.

The test of the times of daemons that are no delegates asked for none at 1.7 s and all at 3.5 s, which is later than a change may take. It now asks for none at 1.45 s, under half at 1.55 s and all at 1.7 s, which is as strict on the order. The test of a daemon that is cut off also asks that another topic doesn't count.

--- a/bench/control.cc
+++ b/bench/control.cc
@@ -245,7 +245,7 @@
     hooks.add_self_reports = [](bool, proto::FleetBeat*) {};
     hooks.has_new_self_reports = [] { return false; };
     hooks.on_self_reports = [](const proto::FleetBeat&) {};
-    hooks.is_reader = [] { return false; };
+    hooks.is_reader = [](store::Topic) { return false; };
     hooks.store_slow = [] { return false; };
     return hooks;
   }
--- a/src/kernel/fleet_daemon.cc
+++ b/src/kernel/fleet_daemon.cc
@@ -1,6 +1,7 @@
 #include "kernel/fleet_daemon.h"
 
 #include <algorithm>
+#include <array>
 #include <optional>
 #include <random>
 #include <utility>
@@ -94,7 +95,8 @@
         metrics_(kMetricOrganisations),
         upstreams_(UpstreamHooks()),
         fleet_state_(clock_, upstreams_, FleetStateHooks()),
-        reader_election_(settings_.host),
+        elections_{store::ReaderElection(settings_.host),
+                   store::ReaderElection(settings_.host)},
         follower_(clock_, adapter_.store, FollowerHooks()),
         health_(HealthHooks()),
         load_exchange_(loads_, health_, clock_),
@@ -351,10 +353,7 @@
     for (;;) {
       co_await base::SleepFor(kTickInterval);
       const Millis now = clock_.Now();
-      reader_election_.UpdateRole(now, AgeForElection(now),
-                                  mesh_.PeerReaderStatuses(),
-                                  mesh_.IsDelegateCandidate());
-      ReportReaderElection();
+      ElectReaders(now);
       DetectStoreRecovery();
       rollouts_.Tick();
       quarantine_.Tick(now);
@@ -375,27 +374,44 @@
     }
   }
 
-  // Age of the last verification. A daemon that has just started and has none
-  // gives the others time to send theirs; only one that expects to be a
-  // delegate reads soon.
-  Millis AgeForElection(Millis now) const {
-    const Millis age = fleet_state_.VerificationAgeOf(Topic::kUpstreams);
+  // Takes part in the election of each topic's reader.
+  void ElectReaders(Millis now) {
+    for (const Topic topic : store::kAllTopics) {
+      ElectionOf(topic).UpdateRole(now, AgeForElection(topic, now),
+                                   mesh_.PeerReaderStatuses(topic),
+                                   mesh_.IsDelegateCandidate());
+      ReportReaderElection(topic);
+    }
+  }
+
+  store::ReaderElection& ElectionOf(Topic topic) {
+    return elections_[static_cast<size_t>(topic)];
+  }
+  bool IsReader(Topic topic) const {
+    return elections_[static_cast<size_t>(topic)].is_reader();
+  }
+
+  // Age of the topic's last verification. A daemon that has just started and
+  // has none gives the others time to send theirs; only one that expects to be
+  // a delegate reads soon.
+  Millis AgeForElection(Topic topic, Millis now) const {
+    const Millis age = fleet_state_.VerificationAgeOf(topic);
     const Millis up_for = now - started_at_;
     const bool reads_first =
         mesh_.IsDelegateCandidate() && up_for >= kFirstReadDelay;
     return reads_first ? age : std::min(age, up_for);
   }
 
-  void ReportReaderElection() {
-    if (reader_election_.is_reader() == reported_reading_) {
+  void ReportReaderElection(Topic topic) {
+    bool& reported = reported_reading_[static_cast<size_t>(topic)];
+    if (IsReader(topic) == reported) {
       return;
     }
-    reported_reading_ = reader_election_.is_reader();
-    Emit(reported_reading_ ? Event::kStoreReaderStarted
-                           : Event::kStoreReaderStopped,
-         {{"age_ms",
-           absl::StrCat(
-               fleet_state_.VerificationAgeOf(Topic::kUpstreams).count())},
+    reported = IsReader(topic);
+    Emit(reported ? Event::kStoreReaderStarted : Event::kStoreReaderStopped,
+         {{"topic", std::string(ToString(topic))},
+          {"age_ms",
+           absl::StrCat(fleet_state_.VerificationAgeOf(topic).count())},
           {"daemons", absl::StrCat(mesh_.DaemonCount())}});
   }
 
@@ -430,7 +446,7 @@
 
   bool StoreUpdatesAreLate() const {
     return store_silent_ || mesh_.IsStoreSlow() ||
-           (reader_election_.is_reader() && follower_.is_store_slow());
+           (IsReader(Topic::kUpstreams) && follower_.is_store_slow());
   }
 
   // While updates from the store are late, polls the engines that run
@@ -555,7 +571,7 @@
                      const store::Update& update,
                      Millis verified_at) {
     std::vector<store::Record> changes = OnUpdate(topic, update, verified_at);
-    if (!reader_election_.is_reader()) {
+    if (!IsReader(topic)) {
       for (const store::Record& record : changes) {
         mesh_.MarkChange(topic, record.offset);
       }
@@ -627,7 +643,7 @@
   store::Follower::Hooks FollowerHooks() {
     store::Follower::Hooks hooks;
     hooks.should_read = [this](Topic topic) {
-      return reader_election_.is_reader() || mesh_.IsBehind(topic);
+      return IsReader(topic) || mesh_.IsBehind(topic);
     };
     hooks.replica = [this](Topic topic) -> const store::TopicReplica& {
       return fleet_state_.replica(topic);
@@ -674,8 +690,8 @@
       routing::ApplySelfReports(heartbeat, clock_.Now(), self_reports_);
     };
     rollouts_.AddHooks(&hooks);
-    hooks.is_reader = [this] {
-      return reader_election_.is_reader() && follower_.HasRecentRead();
+    hooks.is_reader = [this](Topic topic) {
+      return IsReader(topic) && follower_.HasRecentRead(topic);
     };
     hooks.store_slow = [this] { return follower_.is_store_slow(); };
     return hooks;
@@ -684,7 +700,7 @@
   // Whether this daemon decides for the fleet and keeps what the fleet knows.
   // Daemons that do not know each other yet would all do so.
   bool ActsForFleet() const {
-    return reader_election_.is_reader() && mesh_.IsDelegate() &&
+    return IsReader(Topic::kUpstreams) && mesh_.IsDelegate() &&
            mesh_.KnowsFleet();
   }
 
@@ -819,7 +835,8 @@
   Millis versions_recorded_at_{0};
   fleet::UpstreamList upstreams_;
   fleet::FleetState fleet_state_;
-  store::ReaderElection reader_election_;
+  // By topic.
+  std::array<store::ReaderElection, store::kTopicCount> elections_;
   store::Follower follower_;
   std::unique_ptr<membership::ZmqTransport> transport_;
   routing::LoadTracker loads_;
@@ -847,7 +864,7 @@
   /// The transport's counts at the last check of the event loop.
   membership::TransportCounts checked_counts_;
   bool reported_ready_ = false;
-  bool reported_reading_ = false;
+  std::array<bool, store::kTopicCount> reported_reading_{};
   bool store_silent_ = true;
 };
 
--- a/src/membership/mesh.cc
+++ b/src/membership/mesh.cc
@@ -28,6 +28,10 @@
 constexpr int kMaxViewDaemons = 10'000;
 constexpr int kMaxEntries = 2000;
 
+size_t IndexOf(Topic topic) {
+  return static_cast<size_t>(topic);
+}
+
 // The name under which a daemon is linked until its own is known.
 HostId SeedName(const std::string& address) {
   return HostId(absl::StrCat("seed ", address));
@@ -164,9 +168,10 @@
     }
     link.follower = follows;
     link.is_delegate = heartbeat.is_delegate();
-    link.reading = heartbeat.reading();
+    link.reading = {heartbeat.reading_operator(), heartbeat.reading()};
+    link.hears_reader = {heartbeat.hears_operator_reader(),
+                         heartbeat.hears_reader()};
     link.store_slow = heartbeat.store_slow();
-    link.hears_reader = heartbeat.hears_reader();
     link.last_timestamp = heartbeat.stamp();
     link.last_timestamp_at = now;
   }
@@ -539,9 +544,11 @@
   heartbeat->set_stamp(timestamps_.Make());
   heartbeat->set_echo(link.last_timestamp);
   heartbeat->set_echo_age_ms((now - link.last_timestamp_at).count());
-  heartbeat->set_reading(hooks_.is_reader());
+  heartbeat->set_reading(hooks_.is_reader(Topic::kUpstreams));
+  heartbeat->set_reading_operator(hooks_.is_reader(Topic::kOperator));
   heartbeat->set_store_slow(IsStoreSlow());
-  heartbeat->set_hears_reader(HearsReader());
+  heartbeat->set_hears_reader(HearsReader(Topic::kUpstreams));
+  heartbeat->set_hears_operator_reader(HearsReader(Topic::kOperator));
   heartbeat->set_draining(draining_);
   heartbeat->set_is_delegate(is_delegate_);
   heartbeat->set_reports(link.chosen_at.has_value() || IsProbed(link));
@@ -744,20 +751,24 @@
   });
 }
 
-bool Mesh::HearsReader() const {
-  return hooks_.is_reader() ||
-         std::any_of(links_.begin(), links_.end(), [this](const auto& item) {
-           return item.second.reading && item.second.is_delegate &&
-                  roster_.IsInContact(item.first);
+bool Mesh::HearsReader(Topic topic) const {
+  return hooks_.is_reader(topic) ||
+         std::any_of(links_.begin(), links_.end(), [&](const auto& item) {
+           return item.second.reading[IndexOf(topic)] &&
+                  item.second.is_delegate && roster_.IsInContact(item.first);
          });
 }
 
 bool Mesh::IsStoreSlow() const {
-  if (hooks_.is_reader()) {
+  if (hooks_.is_reader(Topic::kUpstreams) ||
+      hooks_.is_reader(Topic::kOperator)) {
     return hooks_.store_slow();
   }
   return std::any_of(links_.begin(), links_.end(), [this](const auto& item) {
-    const bool trusted = item.second.reading || followed_ == item.first;
+    const Link& link = item.second;
+    const bool reads = link.reading[IndexOf(Topic::kUpstreams)] ||
+                       link.reading[IndexOf(Topic::kOperator)];
+    const bool trusted = reads || followed_ == item.first;
     return trusted && item.second.store_slow && roster_.IsInContact(item.first);
   });
 }
@@ -770,7 +781,8 @@
   return records_.IsBehind(topic, patience);
 }
 
-std::vector<store::PeerReaderStatus> Mesh::PeerReaderStatuses() const {
+std::vector<store::PeerReaderStatus> Mesh::PeerReaderStatuses(
+    Topic topic) const {
   std::vector<store::PeerReaderStatus> statuses;
   for (const auto& [id, link] : links_) {
     if (!link.is_delegate || !roster_.IsInContact(id)) {
@@ -779,7 +791,8 @@
     store::PeerReaderStatus status;
     status.name = id;
     status.last_heard_at = link.last_timestamp_at;
-    status.reading = link.reading || (!is_delegate_ && link.hears_reader);
+    status.reading = link.reading[IndexOf(topic)] ||
+                     (!is_delegate_ && link.hears_reader[IndexOf(topic)]);
     status.is_delegate = true;
     statuses.push_back(std::move(status));
   }
--- a/src/membership/mesh.h
+++ b/src/membership/mesh.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <deque>
 #include <functional>
 #include <map>
@@ -127,8 +128,8 @@
     std::function<void(bool all, proto::FleetBeat*)> add_self_reports;
     std::function<bool()> has_new_self_reports;
     std::function<void(const proto::FleetBeat&)> on_self_reports;
-    /// Whether this daemon reads the store.
-    std::function<bool()> is_reader;
+    /// Whether this daemon reads the topic in the store.
+    std::function<bool(store::Topic)> is_reader;
     /// Whether the store answers this daemon late.
     std::function<bool()> store_slow;
   };
@@ -183,8 +184,9 @@
   /// This daemon's rank by rendezvous hashing for `key` among the daemons that
   /// are up, from 0.
   size_t RankFor(std::string_view key) const { return roster_.RankFor(key); }
-  /// The reader status of the delegates that this daemon is in contact with.
-  std::vector<store::PeerReaderStatus> PeerReaderStatuses() const;
+  /// Whether the delegates that this daemon is in contact with read the topic.
+  std::vector<store::PeerReaderStatus> PeerReaderStatuses(
+      store::Topic topic) const;
   /// Whether a reader of the store is known to get late answers.
   bool IsStoreSlow() const;
   /// Whether peers have had records of `topic` that this daemon lacks for
@@ -204,9 +206,9 @@
     bool follower = false;
     /// What the peer last said of itself.
     bool is_delegate = false;
-    bool reading = false;
+    std::array<bool, store::kTopicCount> reading{};
+    std::array<bool, store::kTopicCount> hears_reader{};
     bool store_slow = false;
-    bool hears_reader = false;
     base::Millis next_heartbeat_at;
     base::Millis next_full_at;
     /// The peer's last timestamp, to be echoed, and the time of its arrival.
@@ -258,8 +260,8 @@
   void ReportContacts();
   void ProbeSilentDaemons();
 
-  /// Whether this daemon or a delegate reads the store.
-  bool HearsReader() const;
+  /// Whether this daemon or a delegate reads the topic.
+  bool HearsReader(store::Topic topic) const;
   /// Makes an empty message from this daemon.
   proto::Envelope MakeEnvelope() const;
   /// Makes a heartbeat without loads, views and news.
--- a/src/membership/record_exchange.cc
+++ b/src/membership/record_exchange.cc
@@ -10,12 +10,11 @@
 
 using base::HostId;
 using base::Millis;
+using store::kAllTopics;
 using store::Topic;
 using store::TopicReplica;
 using store::Update;
 
-constexpr std::array<Topic, store::kTopicCount> kAllTopics = {
-    Topic::kOperator, Topic::kUpstreams};
 // An update that is sent to peers at once, instead of announced, may take the
 // link of the host for this long beside the callers.
 constexpr Millis kBroadcastTime{2000};
--- a/src/store/follower.cc
+++ b/src/store/follower.cc
@@ -1,5 +1,6 @@
 #include "store/follower.h"
 
+#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -56,20 +57,24 @@
     }
   }
   RecordReachability(topic, update.status());
-  is_store_slow_ = clock_.Now() - sent_at > wait + kSlowAnswerThreshold;
+  const auto index = static_cast<size_t>(topic);
+  is_slow_[index] = clock_.Now() - sent_at > wait + kSlowAnswerThreshold;
   if (!update.ok()) {
     co_return false;
   }
-  if (topic == Topic::kUpstreams) {
-    upstreams_read_at_ = clock_.Now();
-  }
+  read_at_[index] = clock_.Now();
   hooks_.on_update(topic, *update,
                    update->partial ? replica.verified_at() : sent_at);
   co_return true;
 }
 
-bool Follower::HasRecentRead() const {
-  return upstreams_read_at_ && clock_.Now() - *upstreams_read_at_ < kMaxReadAge;
+bool Follower::HasRecentRead(Topic topic) const {
+  const std::optional<Millis>& read_at = read_at_[static_cast<size_t>(topic)];
+  return read_at && clock_.Now() - *read_at < kMaxReadAge;
+}
+
+bool Follower::is_store_slow() const {
+  return std::find(is_slow_.begin(), is_slow_.end(), true) != is_slow_.end();
 }
 
 void Follower::RecordReachability(Topic topic, const absl::Status& status) {
--- a/src/store/follower.h
+++ b/src/store/follower.h
@@ -16,8 +16,10 @@
 class Follower {
  public:
   /// Long-poll time of a read of the operator topic. What a read returns is
-  /// verified as of the time at which the read was sent.
-  static constexpr base::Millis kOperatorLongPoll{1000};
+  /// verified as of the time at which the read was sent, so that a
+  /// verification is up to twice as old at the reader. With the time of two
+  /// messages, that must be less than a takeover waits for.
+  static constexpr base::Millis kOperatorLongPoll{250};
   /// Pause between reads of the upstreams topic. Every upstream writes several
   /// times a second; spaced reads return several records at once.
   static constexpr base::Millis kUpstreamsReadInterval{220};
@@ -31,12 +33,12 @@
   /// The store counts as slow if an answer takes this much longer than the
   /// long-poll time of the read.
   static constexpr base::Millis kSlowAnswerThreshold{120};
-  /// A follower whose last successful read of the upstreams topic is older
-  /// than this counts as unable to read.
+  /// A follower whose last successful read of a topic is older than this counts
+  /// as unable to read it.
   static constexpr base::Millis kMaxReadAge{1000};
 
   struct Hooks {
-    /// Whether this daemon is to read `topic`: it is the elected reader, or
+    /// Whether this daemon is to read the topic: it is its elected reader, or
     /// lacks records that peers have.
     std::function<bool(Topic)> should_read;
     std::function<const TopicReplica&(Topic)> replica;
@@ -52,13 +54,12 @@
   /// Reads `topic` until the process ends.
   base::Task<void> FollowTopic(Topic topic);
 
-  /// Whether a read of the upstreams topic succeeded within `kMaxReadAge`.
-  /// Peers must not count an elected daemon as a reader while it is cut off
-  /// from the store.
-  bool HasRecentRead() const;
-  /// Whether the store answered the last read late, so that its updates reach
-  /// this daemon late too.
-  bool is_store_slow() const { return is_store_slow_; }
+  /// Whether a read of `topic` succeeded within `kMaxReadAge`. Peers must not
+  /// count an elected daemon as a reader while it can't read the topic.
+  bool HasRecentRead(Topic topic) const;
+  /// Whether the store answered the last read of a topic late, so that its
+  /// updates reach this daemon late too.
+  bool is_store_slow() const;
 
  private:
   base::Task<bool> ReadOnce(Topic topic);
@@ -71,8 +72,9 @@
   Hooks hooks_;
   // Why the last read of each topic failed; empty if it succeeded.
   std::array<std::string, kTopicCount> failures_;
-  bool is_store_slow_ = false;
-  std::optional<base::Millis> upstreams_read_at_;
+  // Whether the last read of each topic was answered late.
+  std::array<bool, kTopicCount> is_slow_{};
+  std::array<std::optional<base::Millis>, kTopicCount> read_at_;
 };
 
 }  // namespace dandelion::store
--- a/src/store/reader_election.cc
+++ b/src/store/reader_election.cc
@@ -31,11 +31,11 @@
     is_reader_ = !(earlier_reader && verification_age < kVerificationTimeout);
     return is_reader_;
   }
-  const int delaying_peers = std::min(earlier_peers, kMaxDelayingPeers);
-  const base::Millis delay_of_others =
-      has_delegate && !is_delegate ? DelayOfOthers() : base::Millis(0);
-  is_reader_ = verification_age > kVerificationTimeout + delay_of_others +
-                                      kTakeoverDelayPerPeer * delaying_peers;
+  const base::Millis delay =
+      has_delegate && !is_delegate
+          ? DelayOfOthers()
+          : kTakeoverDelayPerPeer * std::min(earlier_peers, kMaxDelayingPeers);
+  is_reader_ = verification_age > kVerificationTimeout + delay;
   return is_reader_;
 }
 
--- a/src/store/reader_election.h
+++ b/src/store/reader_election.h
@@ -7,7 +7,7 @@
 
 namespace dandelion::store {
 
-/// Whether a peer reads the store, as far as this daemon knows.
+/// Whether a peer reads a topic of the store, as far as this daemon knows.
 struct PeerReaderStatus {
   base::HostId name;
   /// When its last message arrived.
@@ -17,10 +17,15 @@
   bool is_delegate = false;
 };
 
-/// Elects the daemons that read the store for the fleet. Normally one daemon
-/// reads and forwards the updates; another takes over when the reader dies,
-/// freezes or loses the store. This keeps the daemons of a large fleet from all
-/// polling a store whose calls are rate-limited and billed.
+/// Elects the daemons that read one topic of the store for the fleet. Normally
+/// one daemon reads and forwards the updates; another takes over when the
+/// reader dies, freezes or can't read the topic. This keeps the daemons of a
+/// large fleet from all polling a store whose calls are rate-limited and
+/// billed.
+///
+/// Each daemon goes by the age of its own last verification, whatever the
+/// others say of themselves, so that no way of losing the reader goes
+/// unnoticed. All of them read within `kLongestTakeover`.
 class ReaderElection {
  public:
   /// Peers that have been silent for longer are ignored.
@@ -28,23 +33,28 @@
   /// If the last verification is older than this, the reader is taken to have
   /// stopped.
   static constexpr base::Millis kVerificationTimeout{1000};
+  /// Each live delegate whose name sorts before this delegate's delays its
+  /// takeover by this much, so that few daemons take over at once.
+  static constexpr base::Millis kTakeoverDelayPerPeer{100};
+  /// Bounds the takeover delay in large fleets.
+  static constexpr int kMaxDelayingPeers = 4;
   /// A daemon that is no delegate gives delegates this much more time, and up
   /// to the spread more by a hash of its name: one of them that reaches the
   /// store is enough.
-  static constexpr base::Millis kTakeoverDelayOfOthers{800};
-  static constexpr base::Millis kTakeoverSpreadOfOthers{1200};
-  /// Each live peer whose name sorts before this daemon's delays its takeover
-  /// by this much, so that few daemons take over at once.
-  static constexpr base::Millis kTakeoverDelayPerPeer{120};
-  /// Bounds the takeover delay in large fleets.
-  static constexpr int kMaxDelayingPeers = 6;
+  static constexpr base::Millis kTakeoverDelayOfOthers{500};
+  static constexpr base::Millis kTakeoverSpreadOfOthers{150};
+  /// The age of a verification at which every daemon reads. Changes are to be
+  /// in force 2 s after they were made, which leaves the time of a read and of
+  /// two messages.
+  static constexpr base::Millis kLongestTakeover =
+      kVerificationTimeout + kTakeoverDelayOfOthers + kTakeoverSpreadOfOthers;
 
   explicit ReaderElection(base::HostId self) : self_(std::move(self)) {}
 
   /// Decides whether this daemon reads from `now` on. `verification_age` is
-  /// the age of this daemon's last verification of the upstreams topic. A
-  /// reader stops when a live peer whose name sorts before its own reads too
-  /// and the updates are fresh. Delegates sort before other daemons.
+  /// the age of this daemon's last verification of the topic. A reader stops
+  /// when a live peer whose name sorts before its own reads the topic too and
+  /// the updates are fresh. Delegates sort before other daemons.
   bool UpdateRole(base::Millis now,
                   base::Millis verification_age,
                   const std::vector<PeerReaderStatus>& peers,
--- a/src/store/topic.h
+++ b/src/store/topic.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -14,6 +15,8 @@
 /// The topics of the platform's store that the daemons read.
 enum class Topic { kOperator = 0, kUpstreams = 1 };
 inline constexpr size_t kTopicCount = 2;
+inline constexpr std::array<Topic, kTopicCount> kAllTopics = {
+    Topic::kOperator, Topic::kUpstreams};
 
 std::string_view ToString(Topic topic);
 
--- a/test/fleet-test.cc
+++ b/test/fleet-test.cc
@@ -331,10 +331,11 @@
   CHECK_FALSE(second.UpdateRole(now, Millis(300), {{HostId("a"), now, true}}));
 }
 
-TEST_CASE("daemons that are no delegates take over late and one by one",
+TEST_CASE("daemons that are no delegates take over after those, and in time",
           "[reader]") {
   constexpr int kDaemons = 39;
-  constexpr Millis kLastReady(3500);
+  // Changes are to be in force 2 s after they were made.
+  constexpr Millis kLastInTime(1700);
   const std::vector<store::PeerReaderStatus> delegates = {
       {HostId("d-1"), Millis(10'000), false, true},
       {HostId("d-2"), Millis(10'000), false, true}};
@@ -343,10 +344,10 @@
   int last_readers = 0;
   for (int i = 0; i < kDaemons; ++i) {
     store::ReaderElection member{HostId("m-" + std::to_string(i))};
-    CHECK_FALSE(member.UpdateRole(Millis(10'000), Millis(1700), delegates));
+    CHECK_FALSE(member.UpdateRole(Millis(10'000), Millis(1450), delegates));
     first_readers +=
-        member.UpdateRole(Millis(10'000), Millis(2300), delegates) ? 1 : 0;
-    last_readers += member.UpdateRole(Millis(10'000), kLastReady, delegates);
+        member.UpdateRole(Millis(10'000), Millis(1550), delegates) ? 1 : 0;
+    last_readers += member.UpdateRole(Millis(10'000), kLastInTime, delegates);
     // They stop for a delegate that reads.
     std::vector<store::PeerReaderStatus> reading = delegates;
     reading[0].reading = true;
@@ -357,8 +358,8 @@
       delegate.UpdateRole(Millis(10'000), Millis(1300), delegates, true);
   CHECK(delegate_readers == 1);
   CHECK(first_readers < kDaemons / 2);
-  // Without a delegate that reaches the store, all try before they would stop
-  // being ready.
+  // Without a delegate that reaches the store, all try while a change can still
+  // be in force in time.
   CHECK(last_readers == kDaemons);
 }
 
@@ -432,17 +433,19 @@
       context.run_one();
     }
   };
-  CHECK_FALSE(follower.HasRecentRead());
+  CHECK_FALSE(follower.HasRecentRead(Topic::kUpstreams));
   base::Spawn(context.get_executor(), follower.FollowTopic(Topic::kUpstreams));
   read_twice();
-  CHECK(follower.HasRecentRead());
+  CHECK(follower.HasRecentRead(Topic::kUpstreams));
+  // Nor does one that reads another topic only.
+  CHECK_FALSE(follower.HasRecentRead(Topic::kOperator));
   store.fails = true;
   now = now + store::Follower::kMaxReadAge;
   read_twice();
-  CHECK_FALSE(follower.HasRecentRead());
+  CHECK_FALSE(follower.HasRecentRead(Topic::kUpstreams));
   store.fails = false;
   read_twice();
-  CHECK(follower.HasRecentRead());
+  CHECK(follower.HasRecentRead(Topic::kUpstreams));
 }
 
 TEST_CASE("an entry that expired in a store outage does not mean leaving",
--- a/test/mesh-fixture.h
+++ b/test/mesh-fixture.h
@@ -232,7 +232,7 @@
     hooks.add_self_reports = [](bool, proto::FleetBeat*) {};
     hooks.has_new_self_reports = [] { return false; };
     hooks.on_self_reports = [](const proto::FleetBeat&) {};
-    hooks.is_reader = [self] { return self->reading; };
+    hooks.is_reader = [self](Topic) { return self->reading; };
     hooks.store_slow = [] { return false; };
     return hooks;
   }
