Follow a store that came back from an older copy

Cause: offsets were compared as they are, though a store that comes back older gives them out again. The replica kept its old end, took no record from before it, and verified nothing.

Change: the offsets of the followed topics hold the era that the store tells in its answers above its own count, so that all of a later era is newer, on every way between daemons too. What the store lost is written again, as the platform's page says; until 3 s after an era began its absence is no removal (an evacuation would end for a moment).

--- a/src/fleet/fleet_state.cc
+++ b/src/fleet/fleet_state.cc
@@ -51,7 +51,7 @@
   if (!operator_record.ok()) {
     Emit(Event::kConfigRejected,
          {{"key", record.key},
-          {"offset", absl::StrCat(record.offset)},
+          {"offset", absl::StrCat(store::OffsetInEra(record.offset))},
           {"reason", std::string(operator_record.status().message())}});
     return true;
   }
@@ -61,7 +61,7 @@
     Emit(record.removed ? Event::kDataCentreRestored
                         : Event::kDataCentreEvacuated,
          {{"data_centre", operator_record->evacuated_data_centre.value()},
-          {"offset", absl::StrCat(record.offset)}});
+          {"offset", absl::StrCat(store::OffsetInEra(record.offset))}});
   }
   if (operator_record->rollout && hooks_.on_rollout) {
     hooks_.on_rollout(*operator_record->rollout);
@@ -74,7 +74,7 @@
     ReportRefusedOrganisations(record);
     Emit(Event::kConfigInstalled,
          {{"version", absl::StrCat(catalogue_->version)},
-          {"offset", absl::StrCat(record.offset)},
+          {"offset", absl::StrCat(store::OffsetInEra(record.offset))},
           {"routes", absl::StrCat(catalogue_->routes.size())},
           {"age_ms",
            absl::StrCat(VerificationAgeOf(Topic::kOperator).count())}});
@@ -87,7 +87,7 @@
   for (const base::OrganisationId& name : catalogue_->refused_organisations) {
     Emit(Event::kConfigRejected,
          {{"key", record.key},
-          {"offset", absl::StrCat(record.offset)},
+          {"offset", absl::StrCat(store::OffsetInEra(record.offset))},
           {"organisation", name.value()},
           {"reason",
            "the name can't be sent to upstreams; its keys are "
@@ -116,7 +116,7 @@
       // The last valid entry stays.
       Emit(Event::kStoreRecordRefused,
            {{"upstream", record.key},
-            {"offset", absl::StrCat(record.offset)},
+            {"offset", absl::StrCat(store::OffsetInEra(record.offset))},
             {"reason", std::string(read.status().message())}});
       return true;
     }
--- a/src/store/follower.cc
+++ b/src/store/follower.cc
@@ -22,6 +22,7 @@
 Task<void> Follower::FollowTopic(Topic topic) {
   RetryBackoff backoff(std::random_device{}());
   for (;;) {
+    NoteEra(topic);
     if (!hooks_.should_read(topic)) {
       co_await base::SleepFor(kIdlePollInterval);
       continue;
@@ -40,22 +41,61 @@
   }
 }
 
+void Follower::NoteEra(Topic topic) {
+  const TopicReplica& replica = hooks_.replica(topic);
+  if (!replica.started()) {
+    return;
+  }
+  std::optional<int64_t>& known = eras_[static_cast<size_t>(topic)];
+  const int64_t era = EraOf(replica.position());
+  if (known && era > *known) {
+    reread_at_[static_cast<size_t>(topic)] = clock_.Now() + kRewriteTime;
+  }
+  known = era;
+}
+
+Task<absl::StatusOr<Update>> Follower::Read(Topic topic, Millis wait) {
+  const TopicReplica& replica = hooks_.replica(topic);
+  std::optional<Millis>& reread_at = reread_at_[static_cast<size_t>(topic)];
+  if (!replica.started() || (reread_at && clock_.Now() >= *reread_at)) {
+    absl::StatusOr<Update> all = co_await store_.ReadNewest(topic);
+    if (all.ok()) {
+      reread_at.reset();
+    }
+    co_return all;
+  }
+  absl::StatusOr<Update> update =
+      co_await store_.ReadFrom(topic, replica.position(), wait);
+  if (base::KindOf(update.status()) != base::ErrorKind::kConflict) {
+    co_return update;
+  }
+  Emit(Event::kStoreGap,
+       {{"topic", std::string(ToString(topic))},
+        {"position", absl::StrCat(OffsetInEra(replica.position()))},
+        {"era", absl::StrCat(EraOf(replica.position()))}});
+  update = co_await store_.ReadNewest(topic);
+  if (update.ok() && EraOf(update->to) > EraOf(replica.position())) {
+    PrepareFirstOfEra(topic, &*update);
+  }
+  co_return update;
+}
+
+void Follower::PrepareFirstOfEra(Topic topic, Update* update) const {
+  update->incomplete = true;
+  if (topic == Topic::kUpstreams) {
+    const TopicReplica& replica = hooks_.replica(topic);
+    std::erase_if(update->records, [&replica](const Record& record) {
+      return replica.Has(record.key);
+    });
+  }
+}
+
 Task<bool> Follower::ReadOnce(Topic topic) {
   const TopicReplica& replica = hooks_.replica(topic);
   const Millis sent_at = clock_.Now();
   const Millis wait =
       topic == Topic::kOperator ? kOperatorLongPoll : kUpstreamsLongPoll;
-  absl::StatusOr<Update> update = absl::UnknownError("not read");
-  if (!replica.started()) {
-    update = co_await store_.ReadNewest(topic);
-  } else {
-    update = co_await store_.ReadFrom(topic, replica.position(), wait);
-    if (base::KindOf(update.status()) == base::ErrorKind::kConflict) {
-      Emit(Event::kStoreGap, {{"topic", std::string(ToString(topic))},
-                              {"position", absl::StrCat(replica.position())}});
-      update = co_await store_.ReadNewest(topic);
-    }
-  }
+  const absl::StatusOr<Update> update = co_await Read(topic, wait);
   RecordReachability(topic, update.status());
   const auto index = static_cast<size_t>(topic);
   is_slow_[index] = clock_.Now() - sent_at > wait + kSlowAnswerThreshold;
--- a/src/store/follower.h
+++ b/src/store/follower.h
@@ -33,6 +33,9 @@
   /// The store counts as slow if an answer takes this much longer than the
   /// long-poll time of the read.
   static constexpr base::Millis kSlowAnswerThreshold{120};
+  /// Writers write again within this time what the store has lost when it came
+  /// back from an older copy. Keys that it lacks count as removed only then.
+  static constexpr base::Millis kRewriteTime{3000};
   /// A follower whose last successful read of a topic is older than this counts
   /// as unable to read it.
   static constexpr base::Millis kMaxReadAge{1000};
@@ -63,6 +66,15 @@
 
  private:
   base::Task<bool> ReadOnce(Topic topic);
+  // Reads what the replica lacks.
+  base::Task<absl::StatusOr<Update>> Read(Topic topic, base::Millis wait);
+  // Makes the first snapshot of an era harmless. It lacks what was written in
+  // the time that was lost, and says again what upstreams have changed since: a
+  // leaving one would seem to be back. Upstreams write all the time, while an
+  // operator's change may be here already.
+  void PrepareFirstOfEra(Topic topic, Update* update) const;
+  // Notes when the replica came to another era of the store, whoever read that.
+  void NoteEra(Topic topic);
   // Logs when the topic can't be read, why if that changes, and when it can
   // again.
   void RecordReachability(Topic topic, const absl::Status& status);
@@ -75,6 +87,10 @@
   // Whether the last read of each topic was answered late.
   std::array<bool, kTopicCount> is_slow_{};
   std::array<std::optional<base::Millis>, kTopicCount> read_at_;
+  // The era of each replica, and when all keys are to be read once more since
+  // it began.
+  std::array<std::optional<int64_t>, kTopicCount> eras_;
+  std::array<std::optional<base::Millis>, kTopicCount> reread_at_;
 };
 
 }  // namespace dandelion::store
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -14,6 +14,9 @@
 
 /// Reads from the platform's metadata store. Every call fails with
 /// `kPlatformUnreachable` if the store does not answer or rejects the call.
+///
+/// Offsets are those of `MakeTopicOffset`: what a store has after it came back
+/// from an older copy of its data follows all that it had before.
 class MetadataStore {
  public:
   virtual ~MetadataStore() = default;
--- a/src/store/topic.h
+++ b/src/store/topic.h
@@ -20,13 +20,29 @@
 
 std::string_view ToString(Topic topic);
 
+/// Offsets hold the era of the store above the position in the topic. An era
+/// begins when the store comes back from an older copy of its data: it has lost
+/// the newest records then, and gives their positions out again.
+inline constexpr int kEraShift = 40;
+inline constexpr int64_t kMaxEra = (INT64_C(1) << 22) - 1;
+constexpr int64_t MakeTopicOffset(int64_t era, int64_t position) {
+  return era << kEraShift | position;
+}
+constexpr int64_t EraOf(int64_t offset) {
+  return offset >> kEraShift;
+}
+/// The position in the topic, as the store counts it.
+constexpr int64_t OffsetInEra(int64_t offset) {
+  return offset & ((INT64_C(1) << kEraShift) - 1);
+}
+
 /// One record of a topic: sets `key` to `value`, or removes `key`.
 struct Record {
   std::string key;
   /// Empty if `removed`.
   std::string value;
   bool removed = false;
-  /// Position of the record in its topic, starting at 0.
+  /// Where the record is in its topic, by `MakeTopicOffset`.
   int64_t offset = 0;
 };
 
@@ -44,7 +60,8 @@
   /// Of a snapshot: keys whose records could not be read. What is known of
   /// them stays as it is.
   std::set<std::string> unread_keys = {};
-  /// Of a snapshot: keys may be missing that were not removed.
+  /// Of a snapshot: keys may be missing that were not removed. What is known of
+  /// them stays as it is.
   bool incomplete = false;
 };
 
@@ -71,6 +88,9 @@
   /// Returns a snapshot with the records of all present keys.
   Update MakeSnapshot() const;
 
+  /// Whether the key is present.
+  bool Has(const std::string& key) const;
+
   /// Digest of the present keys, regardless of their values. Replicas with the
   /// same keys have the same digest; 0 if there are no keys.
   uint64_t key_digest() const { return key_digest_; }
--- a/test/changes-in-force-test.cc
+++ b/test/changes-in-force-test.cc
@@ -225,5 +225,25 @@
   }
 }
 
+// The replica stayed at the end that it had, and took no record from before it.
+TEST_CASE("changes are in force after the store came back older",
+          "[in_force]") {
+  ChangesFixture fixture;
+  for (int i = 0; i < 3; ++i) {
+    fixture.Publish();
+  }
+  fixture.Settle();
+  fixture.store.LoseRecords(kOperatorTopic);
+  fixture.Publish();
+  fixture.Settle();
+  for (int i = 0; i < 2; ++i) {
+    const std::vector<int64_t> times = fixture.TimesToForce();
+    CAPTURE(i, times);
+    for (const int64_t time : times) {
+      CHECK(time <= kChangeDelay.count());
+    }
+  }
+}
+
 }  // namespace
 }  // namespace dandelion::test
