Deny routes and keys only while no change can be missing

A 404 or 401 is final for a caller, who does not try another daemon.

Cause: one limit stood for two questions. Whether a key is still valid may be asked of a configuration until `key_lifetime_ms` (4.4 s here); whether a route or key does not exist only of one that no change can be missing from.

Evidence: [in_force] a daemon without the store refuses no route by an old configuration: its check failed before.

Change: `change_delay_ms` of the settings (config-ms of the platform) is the age up to which a daemon denies; beyond it, it answers 503 with a time, as before beyond the other limit.

--- a/src/kernel/fleet_daemon.cc
+++ b/src/kernel/fleet_daemon.cc
@@ -184,6 +184,7 @@
     settings_.store = settings.store;
     settings_.strict_max_key_age = settings.strict_max_key_age;
     settings_.strict_keys = settings.strict_keys;
+    settings_.change_delay = settings.change_delay;
     settings_.retry_ratio = settings.retry_ratio;
     settings_.retry_slack = settings.retry_slack;
     settings_.retry_window = settings.retry_window;
@@ -547,6 +548,7 @@
     state.catalogue_age = fleet_state_.VerificationAgeOf(Topic::kOperator);
     state.max_key_age =
         settings_.strict_keys ? settings_.strict_max_key_age : kUnlimited;
+    state.max_denial_age = settings_.change_delay;
     state.stops_in = stop_.TimeLeft(clock_.Now());
     return state;
   }
--- a/src/kernel/fleet_settings.cc
+++ b/src/kernel/fleet_settings.cc
@@ -132,6 +132,9 @@
       {"key_lifetime_ms", NumberField([](double ms, FleetSettings* settings) {
          settings->strict_max_key_age = FromMs(ms) - kKeyLifetimeMargin;
        })},
+      {"change_delay_ms", NumberField([](double ms, FleetSettings* settings) {
+         settings->change_delay = FromMs(ms);
+       })},
       {"strict_keys", ParseStrictKeys},
       {"repeat_ratio", NumberField([](double ratio, FleetSettings* settings) {
          settings->retry_ratio = ratio;
--- a/src/kernel/fleet_settings.h
+++ b/src/kernel/fleet_settings.h
@@ -34,6 +34,9 @@
   /// Whether keys are rejected once the configuration is older than
   /// `strict_max_key_age`. If false, they are accepted at any age.
   bool strict_keys = true;
+  /// A change of the configuration is in force this long after it was made. One
+  /// that was last verified longer ago denies neither routes nor keys.
+  base::Millis change_delay{2000};
   /// Retry budget of each pool, per window: `retry_ratio` retries per request,
   /// plus `retry_slack` retries for the whole fleet.
   double retry_ratio = 0.2;
--- a/src/relay/request_admission.cc
+++ b/src/relay/request_admission.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <string_view>
 
+#include "absl/strings/str_cat.h"
 #include "relay/generation_size.h"
 
 namespace dandelion::relay {
@@ -11,6 +12,7 @@
 using base::Millis;
 
 constexpr Millis kRetryWithoutCatalogue{500};
+constexpr std::string_view kOutdated = "configuration may be outdated";
 // Least time that a plain request is given to be answered.
 constexpr Millis kPlainRequestTime{700};
 // A plain request is answered within this many times its answer target, even if
@@ -52,10 +54,10 @@
   }
   const fleet::Route* route =
       state.catalogue->FindRoute(request.headers.Find("Host"), request.Path());
-  const bool current = state.catalogue_age < state.max_key_age;
+  const bool may_deny = state.catalogue_age < state.max_denial_age;
   if (!route) {
-    if (!current) {
-      return Rejection{kUnavailable, "configuration may be outdated",
+    if (!may_deny) {
+      return Rejection{kUnavailable, std::string(kOutdated),
                        kRetryWithoutCatalogue};
     }
     return Rejection{kNotFound, "no route matches the host and path", {}};
@@ -67,14 +69,18 @@
   admitted.priority = route->priority;
   admitted.caller = *parsed;
   if (state.catalogue->needs_keys && !route->is_public) {
-    if (!current) {
+    const auto owner = state.catalogue->organisation_by_key.find(parsed->key);
+    const bool is_known = owner != state.catalogue->organisation_by_key.end();
+    const bool may_judge =
+        is_known ? state.catalogue_age < state.max_key_age : may_deny;
+    if (!may_judge) {
       return Rejection{
           kUnavailable,
-          "the key can't be checked: configuration may be outdated",
+          absl::StrCat("the key can't be checked: ",
+                       absl::string_view(kOutdated.data(), kOutdated.size())),
           kRetryWithoutCatalogue};
     }
-    const auto owner = state.catalogue->organisation_by_key.find(parsed->key);
-    if (owner == state.catalogue->organisation_by_key.end()) {
+    if (!is_known) {
       return Rejection{kUnauthorised, "unknown key", {}};
     }
     admitted.organisation = owner->second.name;
--- a/src/relay/request_admission.h
+++ b/src/relay/request_admission.h
@@ -28,9 +28,11 @@
   fleet::CataloguePtr catalogue;
   /// Time since the configuration was verified to be the newest.
   base::Millis catalogue_age{0};
-  /// Keys are accepted, and unknown routes denied, only while `catalogue_age`
-  /// is less than this.
+  /// Keys are accepted only while `catalogue_age` is less than this.
   base::Millis max_key_age{0};
+  /// Routes and keys are denied only while `catalogue_age` is less than this:
+  /// the time within which a change, that may have added them, is in force.
+  base::Millis max_denial_age{0};
   /// Time by which a stopping daemon must have answered what it accepts; unset
   /// unless it is stopping.
   std::optional<base::Millis> stops_in;
@@ -68,8 +70,9 @@
 /// enough time before the daemon stops. Returns the answer to send otherwise.
 ///
 /// A daemon that was disconnected or suspended may have missed that a key was
-/// revoked, so an outdated configuration neither accepts a key nor denies a
-/// route or key. It answers 503, as does a daemon without a configuration. A
+/// revoked, or that a key or route was added, so an outdated configuration
+/// neither accepts a key nor denies a route or key. It answers 503, as does a
+/// daemon without a configuration. A
 /// stopping daemon rejects what it may not be able to finish: the length of a
 /// generation is unknown, so its limit decides and not the caller's estimate.
 std::variant<AdmittedRequest, Rejection> AdmitRequest(
--- a/test/changes-in-force-test.cc
+++ b/test/changes-in-force-test.cc
@@ -17,6 +17,7 @@
 constexpr char kOperatorTopic[] = "keyed.op";
 constexpr char kUpstreamsTopic[] = "keyed.servers";
 constexpr int kOk = 200;
+constexpr int kNotFound = 404;
 // A change must be in force this long after the store has acknowledged it.
 constexpr Millis kChangeDelay{2000};
 // Longer than any fault that a daemon has a way around.
@@ -245,5 +246,26 @@
   }
 }
 
+TEST_CASE(
+    "a daemon refuses no route by a configuration older than a change "
+    "may take",
+    "[in_force]") {
+  ChangesFixture fixture(1, 1);
+  ChangesFixture::Host& host = fixture.hosts.front();
+  CHECK(fixture.StatusOf(host, "none") == kNotFound);
+  host.door->FailAll(StoreFault::kHang);
+  fixture.Publish();
+  const Millis published = ChangesFixture::Now();
+  int refused = 0;
+  while (ChangesFixture::Now() - published < kPatience) {
+    const bool late = ChangesFixture::Now() - published > kChangeDelay;
+    const int status =
+        fixture.StatusOf(host, ChangesFixture::RouteOf(fixture.version));
+    refused += late && status == kNotFound ? 1 : 0;
+    fixture.RunFor(Millis(20));
+  }
+  CHECK(refused == 0);
+}
+
 }  // namespace
 }  // namespace dandelion::test
--- a/test/decisions-test.cc
+++ b/test/decisions-test.cc
@@ -517,7 +517,7 @@
     caller.max_output_tokens = output_limit;
     const relay::AdmissionState state{
         std::make_shared<const fleet::Catalogue>(catalogue), age, Millis(4000),
-        stops_in};
+        Millis(2000), stops_in};
     passed = relay::AdmitRequest(request, caller, state);
     const auto* rejection = std::get_if<relay::Rejection>(&passed);
     return rejection ? rejection->status : 200;
@@ -547,6 +547,18 @@
   CHECK(fixture.StatusOf("other", Millis(4001)) == 503);
 }
 
+TEST_CASE("routes and keys are denied only while no change can be missing",
+          "[gate]") {
+  GateFixture fixture;
+  CHECK(fixture.StatusOf("other", Millis(1999)) == 401);
+  CHECK(fixture.StatusOf("other", Millis(2000)) == 503);
+  CHECK(fixture.StatusOf("", Millis(2000)) == 503);
+  CHECK(fixture.StatusOf("key", Millis(2000)) == 200);
+  fixture.request.target = "/none/1";
+  CHECK(fixture.StatusOf("key", Millis(1999)) == 404);
+  CHECK(fixture.StatusOf("key", Millis(2000)) == 503);
+}
+
 TEST_CASE("a stopping daemon rejects requests that it could not finish",
           "[gate]") {
   GateFixture fixture;
--- a/test/forward-support.cc
+++ b/test/forward-support.cc
@@ -228,7 +228,7 @@
       [] { return size_t{1}; },
       [this] {
         return relay::AdmissionState{catalogue_, catalogue_age, Millis(4000),
-                                     stop.TimeLeft(clock_.Now())};
+                                     Millis(2000), stop.TimeLeft(clock_.Now())};
       },
       [this](const base::PoolName&, Millis) { return only_version; }});
   callers_ = std::make_unique<http::Server>(
