--- a/test/store-era-test.cc
+++ b/test/store-era-test.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "base/error.h"
+#include "platform/records.h"
 #include "store/follower.h"
 
 namespace dandelion::test {
@@ -161,5 +162,17 @@
   CHECK(fixture.values["u-1"] == "draining, again");
 }
 
+TEST_CASE("an order for a roll-out is the same after the store came back",
+          "[era]") {
+  Record record{"rollout/r", R"({"backend":"p","to":"v2","over-s":60})", false,
+                MakeTopicOffset(1, 5)};
+  const auto before = platform::ParseRolloutOrder(record);
+  record.offset = MakeTopicOffset(2, 5);
+  const auto after = platform::ParseRolloutOrder(record);
+  REQUIRE(before.ok());
+  REQUIRE(after.ok());
+  CHECK(*before == *after);
+}
+
 }  // namespace
 }  // namespace dandelion::test
