Let no way in bring back what an older copy of the store says again

What callers would see, by a review of: while the store comes back older and upstreams leave, requests go to upstreams that had said that they leave, or whose entries had been removed (DRAIN); at a second such return an evacuation ends for a moment at a daemon that had not read at the first.

Cause: the rule against it stood in one of the ways in, the reader's own read after a gap, and asked for present keys only. A store that answers from an earlier era was asked again without a pause.

Change: entries of upstreams go by the upstream's own count (`seq`) across an era, where the entry is applied, whichever way it came; each read of all keys compares eras; what is due is forgotten once the reader has done it; an answer from an earlier era is a failed read. `FleetState` remembers for 60 s what each upstream wrote last.

--- a/src/fleet/fleet_state.cc
+++ b/src/fleet/fleet_state.cc
@@ -16,6 +16,13 @@
 using telemetry::Emit;
 using telemetry::Event;
 
+namespace {
+
+// Below this, what upstreams wrote last is not looked through for what is old.
+constexpr size_t kMinRemembered = 64;
+
+}  // namespace
+
 FleetState::FleetState(base::Clock clock, UpstreamList& upstreams, Hooks hooks)
     : clock_(std::move(clock)),
       upstreams_(upstreams),
@@ -107,6 +114,28 @@
   return hooks_.parse_upstream_entry(record.value);
 }
 
+bool FleetState::IsOutdated(const Record& record, const UpstreamEntry& entry) {
+  const Millis now = clock_.Now();
+  const int64_t era = store::EraOf(record.offset);
+  const auto known = written_.find(record.key);
+  if (known != written_.end()) {
+    const Written& last = known->second;
+    // Within an era, offsets tell what is newer.
+    if (last.era != era && last.started_at == entry.started_at &&
+        entry.sequence > 0 && entry.sequence <= last.sequence &&
+        now - last.at <= kWrittenRetention) {
+      return true;
+    }
+  }
+  written_[record.key] = {entry.started_at, entry.sequence, era, now};
+  if (written_.size() > 2 * entries_.size() + kMinRemembered) {
+    std::erase_if(written_, [now](const auto& item) {
+      return now - item.second.at > kWrittenRetention;
+    });
+  }
+  return false;
+}
+
 bool FleetState::ApplyUpstreamRecord(const Record& record) {
   const base::UpstreamId id(record.key);
   std::optional<UpstreamEntry> entry;
@@ -120,6 +149,9 @@
             {"reason", std::string(read.status().message())}});
       return true;
     }
+    if (IsOutdated(record, *read)) {
+      return false;
+    }
     entry = *std::move(read);
   }
   const auto known = entries_.find(record.key);
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -35,6 +35,10 @@
 /// catalogue and upstream entries parsed from their records.
 class FleetState {
  public:
+  /// How long a daemon remembers what an upstream wrote last: longer than a
+  /// store is away, and than an entry of an older copy takes to expire.
+  static constexpr base::Millis kWrittenRetention{60'000};
+
   struct Hooks {
     /// Parses a record of the operator topic.
     std::function<absl::StatusOr<OperatorRecord>(const store::Record&)>
@@ -70,6 +74,10 @@
   bool ApplyUpstreamRecord(const store::Record& record);
   absl::StatusOr<UpstreamEntry> ParseUpstreamRecord(
       const store::Record& record);
+  /// Whether the upstream had already written this entry or a later one when
+  /// the store came back from an older copy, which says it again. Remembers the
+  /// entry if not.
+  bool IsOutdated(const store::Record& record, const UpstreamEntry& entry);
   void ReportRefusedOrganisations(const store::Record& record) const;
 
   base::Clock clock_;
@@ -77,6 +85,15 @@
   Hooks hooks_;
   std::array<store::TopicReplica, store::kTopicCount> replicas_;
   std::map<std::string, UpstreamEntry> entries_;
+  /// The last that each upstream was known to have written.
+  struct Written {
+    int64_t started_at = 0;
+    int64_t sequence = 0;
+    /// Of the store when it was written.
+    int64_t era = 0;
+    base::Millis at;
+  };
+  std::map<std::string, Written> written_;
   CataloguePtr catalogue_;
 };
 
--- a/src/fleet/upstream_list.h
+++ b/src/fleet/upstream_list.h
@@ -28,8 +28,18 @@
   int64_t started_at = 0;
   /// Empty if the entry names none.
   base::SoftwareVersion version;
+  /// Counts what the upstream has written since its start; 0 if the entry does
+  /// not tell.
+  int64_t sequence = 0;
 
-  bool operator==(const UpstreamEntry&) const = default;
+  /// Whether the entries say the same of the upstream, whenever they were
+  /// written.
+  bool operator==(const UpstreamEntry& other) const {
+    return pool == other.pool && address == other.address &&
+           data_centre == other.data_centre && slots == other.slots &&
+           leaving == other.leaving && cold_remaining == other.cold_remaining &&
+           started_at == other.started_at && version == other.version;
+  }
 };
 
 /// An upstream and its state as known to this daemon.
--- a/src/store/follower.cc
+++ b/src/store/follower.cc
@@ -24,6 +24,7 @@
   for (;;) {
     NoteEra(topic);
     if (!hooks_.should_read(topic)) {
+      ForgetReads(topic);
       co_await base::SleepFor(kIdlePollInterval);
       continue;
     }
@@ -54,11 +55,36 @@
   known = era;
 }
 
+void Follower::ForgetReads(Topic topic) {
+  const auto index = static_cast<size_t>(topic);
+  // The reader has read all keys by then.
+  if (reread_at_[index] && clock_.Now() - *reread_at_[index] > kRewriteTime) {
+    reread_at_[index].reset();
+  }
+}
+
+Task<absl::StatusOr<Update>> Follower::ReadAll(Topic topic) {
+  absl::StatusOr<Update> all = co_await store_.ReadNewest(topic);
+  const TopicReplica& replica = hooks_.replica(topic);
+  if (!all.ok() || !replica.started()) {
+    co_return all;
+  }
+  const int64_t era = EraOf(replica.position());
+  if (EraOf(all->to) < era) {
+    co_return base::MakeError(
+        base::ErrorKind::kPlatformUnreachable,
+        "the store answered from before it came back from a copy",
+        "check whether there are two stores; the read is repeated");
+  }
+  all->incomplete = all->incomplete || EraOf(all->to) > era;
+  co_return all;
+}
+
 Task<absl::StatusOr<Update>> Follower::Read(Topic topic, Millis wait) {
   const TopicReplica& replica = hooks_.replica(topic);
   std::optional<Millis>& reread_at = reread_at_[static_cast<size_t>(topic)];
   if (!replica.started() || (reread_at && clock_.Now() >= *reread_at)) {
-    absl::StatusOr<Update> all = co_await store_.ReadNewest(topic);
+    absl::StatusOr<Update> all = co_await ReadAll(topic);
     if (all.ok()) {
       reread_at.reset();
     }
@@ -73,21 +99,7 @@
        {{"topic", std::string(ToString(topic))},
         {"position", absl::StrCat(OffsetInEra(replica.position()))},
         {"era", absl::StrCat(EraOf(replica.position()))}});
-  update = co_await store_.ReadNewest(topic);
-  if (update.ok() && EraOf(update->to) > EraOf(replica.position())) {
-    PrepareFirstOfEra(topic, &*update);
-  }
-  co_return update;
-}
-
-void Follower::PrepareFirstOfEra(Topic topic, Update* update) const {
-  update->incomplete = true;
-  if (topic == Topic::kUpstreams) {
-    const TopicReplica& replica = hooks_.replica(topic);
-    std::erase_if(update->records, [&replica](const Record& record) {
-      return replica.Has(record.key);
-    });
-  }
+  co_return co_await ReadAll(topic);
 }
 
 Task<bool> Follower::ReadOnce(Topic topic) {
--- a/src/store/follower.h
+++ b/src/store/follower.h
@@ -68,11 +68,12 @@
   base::Task<bool> ReadOnce(Topic topic);
   // Reads what the replica lacks.
   base::Task<absl::StatusOr<Update>> Read(Topic topic, base::Millis wait);
-  // Makes the first snapshot of an era harmless. It lacks what was written in
-  // the time that was lost, and says again what upstreams have changed since: a
-  // leaving one would seem to be back. Upstreams write all the time, while an
-  // operator's change may be here already.
-  void PrepareFirstOfEra(Topic topic, Update* update) const;
+  // Reads the newest record of every key. The first snapshot of an era lacks
+  // what was written in the time that was lost, and counts as incomplete. Fails
+  // if the store answers from an earlier era than the replica's.
+  base::Task<absl::StatusOr<Update>> ReadAll(Topic topic);
+  // Forgets what the last reads of a topic showed that is not read any more.
+  void ForgetReads(Topic topic);
   // Notes when the replica came to another era of the store, whoever read that.
   void NoteEra(Topic topic);
   // Logs when the topic can't be read, why if that changes, and when it can
--- a/src/store/topic.cc
+++ b/src/store/topic.cc
@@ -47,11 +47,6 @@
   return changed;
 }
 
-bool TopicReplica::Has(const std::string& key) const {
-  const auto known = entries_.find(key);
-  return known != entries_.end() && !known->second.record.removed;
-}
-
 bool TopicReplica::ShouldApply(const Record& record, bool newest_snapshot) {
   const auto known = entries_.find(record.key);
   if (known == entries_.end()) {
--- a/src/store/topic.h
+++ b/src/store/topic.h
@@ -88,9 +88,6 @@
   /// Returns a snapshot with the records of all present keys.
   Update MakeSnapshot() const;
 
-  /// Whether the key is present.
-  bool Has(const std::string& key) const;
-
   /// Digest of the present keys, regardless of their values. Replicas with the
   /// same keys have the same digest; 0 if there are no keys.
   uint64_t key_digest() const { return key_digest_; }
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -79,7 +79,7 @@
   CHECK(entry->cold_remaining == Millis(900));
   CHECK(entry->started_at == 17);
   CHECK_FALSE(entry->leaving);
-  // `seq` counts heartbeats; it is not part of the parsed entry.
+  // `seq` counts heartbeats; it is no change of the entry.
   entry_json["seq"] = 5;
   CHECK(platform::ParseUpstreamEntry(entry_json.dump()) == entry);
 }
--- a/test/store-era-test.cc
+++ b/test/store-era-test.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "base/error.h"
+#include "fleet/fleet_state.h"
 #include "platform/records.h"
 #include "store/follower.h"
 
@@ -73,7 +74,7 @@
 struct EraFixture {
   explicit EraFixture(Topic topic) : topic(topic) {
     store::Follower::Hooks hooks;
-    hooks.should_read = [](Topic) { return true; };
+    hooks.should_read = [this](Topic) { return reads; };
     hooks.is_delegate = [] { return true; };
     hooks.replica = [this](Topic) -> const store::TopicReplica& {
       return replica;
@@ -98,6 +99,7 @@
   }
 
   Topic topic;
+  bool reads = true;
   boost::asio::io_context context;
   Millis now{5000};
   ReturningStore store;
@@ -146,20 +148,99 @@
   CHECK(fixture.values["evacuate/dc-b"].empty());
 }
 
-TEST_CASE("an older copy's entry does not bring a leaving upstream back",
+TEST_CASE("a second era is as harmless at a daemon that did not read the first",
           "[era]") {
-  EraFixture fixture(Topic::kUpstreams);
-  fixture.store.Write("u-1", "ready");
+  EraFixture fixture(Topic::kOperator);
+  fixture.store.Write("config", "1");
   const std::vector<Record> copy = fixture.store.newest;
-  fixture.store.Write("u-1", "draining");
   fixture.Start();
-  REQUIRE(fixture.values["u-1"] == "draining");
+  // A peer tells of the era and of an evacuation.
+  fixture.reads = false;
+  fixture.store.ReturnWith(0, copy);
+  fixture.store.Write("evacuate/dc-a", "{}");
+  Update news;
+  news.snapshot = true;
+  news.from = news.to = MakeTopicOffset(2, fixture.store.end);
+  news.records = fixture.store.newest;
+  for (const Record& record : fixture.replica.Apply(news, fixture.now)) {
+    fixture.values[record.key] = record.value;
+  }
+  for (int i = 0; i < 8; ++i) {
+    fixture.context.run_one();
+  }
+  fixture.now = fixture.now + Millis(60'000);
   fixture.store.ReturnWith(1, copy);
+  fixture.reads = true;
   fixture.ReadOn();
-  CHECK(fixture.values["u-1"] == "draining");
-  fixture.store.Write("u-1", "draining, again");
+  CHECK(fixture.values["evacuate/dc-a"] == "{}");
+}
+
+TEST_CASE("answers from before a store came back verify nothing", "[era]") {
+  EraFixture fixture(Topic::kOperator);
+  fixture.store.Write("config", "1");
+  fixture.store.era = 3;
+  fixture.Start();
+  const Millis verified_at = fixture.now;
+  fixture.now = fixture.now + Millis(500);
+  fixture.store.era = 2;
   fixture.ReadOn();
-  CHECK(fixture.values["u-1"] == "draining, again");
+  CHECK(fixture.replica.VerificationAge(fixture.now) ==
+        fixture.now - verified_at);
+}
+
+/// The upstreams that a daemon lists while its store comes back older.
+struct ListFixture {
+  static constexpr char kReady[] = "ready";
+  static constexpr char kDraining[] = "draining";
+
+  ListFixture() {
+    fleet::FleetState::Hooks hooks;
+    hooks.parse_upstream_entry = [](const std::string& value) {
+      // "STATE SEQUENCE"
+      fleet::UpstreamEntry entry;
+      entry.leaving = value.starts_with(kDraining);
+      entry.started_at = 1;
+      entry.sequence = std::stoll(value.substr(value.find(' ')));
+      return absl::StatusOr<fleet::UpstreamEntry>(entry);
+    };
+    state.emplace(base::Clock([this] { return now; }), upstreams, hooks);
+  }
+  void Apply(const std::string& value, int64_t era, int64_t offset) {
+    Update update;
+    update.snapshot = true;
+    update.incomplete = true;
+    update.from = update.to = MakeTopicOffset(era, offset + 1);
+    update.records.push_back(
+        {"u-1", value, value.empty(), MakeTopicOffset(era, offset)});
+    state->ApplyUpdate(Topic::kUpstreams, update, now);
+  }
+  bool IsUsable() const {
+    const fleet::Upstream* upstream = upstreams.Find(base::UpstreamId("u-1"));
+    return upstream && upstreams.IsUsable(*upstream);
+  }
+
+  Millis now{5000};
+  fleet::UpstreamList upstreams{fleet::UpstreamList::Hooks{
+      [](const fleet::Upstream&) {},
+      [](const fleet::Upstream&, std::string_view) {},
+      [](const base::UpstreamId&) {}}};
+  std::optional<fleet::FleetState> state;
+};
+
+TEST_CASE("an older copy's entry does not bring a leaving upstream back",
+          "[era]") {
+  const std::string last = GENERATE("draining 9", "");
+  CAPTURE(last);
+  ListFixture fixture;
+  fixture.Apply("ready 7", 1, 10);
+  fixture.Apply("ready 8", 1, 11);
+  fixture.Apply(last, 1, 12);
+  REQUIRE_FALSE(fixture.IsUsable());
+  fixture.Apply("ready 8", 2, 10);
+  CHECK_FALSE(fixture.IsUsable());
+  // It has written since, so it is alive.
+  fixture.Apply("ready 10", 2, 11);
+  CHECK(fixture.IsUsable());
 }
 
 TEST_CASE("an order for a roll-out is the same after the store came back",
