Forget that a topic's store was slow once another daemon reads the topic

Cause: the flag of the last read of a topic outlived the reading. Change: it ends with it. The new case of unit-test [reader] fails with that line off (1 of 127 checks) and passes with it.

--- a/src/store/follower.cc
+++ b/src/store/follower.cc
@@ -57,6 +57,7 @@
 
 void Follower::ForgetReads(Topic topic) {
   const auto index = static_cast<size_t>(topic);
+  is_slow_[index] = false;
   // The reader has read all keys by then.
   if (reread_at_[index] && clock_.Now() - *reread_at_[index] > kRewriteTime) {
     reread_at_[index].reset();
--- a/test/fleet-test.cc
+++ b/test/fleet-test.cc
@@ -395,6 +395,7 @@
  public:
   bool fails = false;
   int calls = 0;
+  std::function<void()> on_call = [] {};
 
   base::Task<absl::StatusOr<Update>> ReadNewest(Topic) override {
     return Answer();
@@ -406,6 +407,7 @@
  private:
   base::Task<absl::StatusOr<Update>> Answer() {
     ++calls;
+    on_call();
     if (fails) {
       co_return absl::UnavailableError("cut off");
     }
@@ -448,6 +450,34 @@
   CHECK(follower.HasRecentRead(Topic::kUpstreams));
 }
 
+TEST_CASE("a topic that is no longer read does not make the store slow",
+          "[reader]") {
+  boost::asio::io_context context;
+  Millis now(5000);
+  bool reads = true;
+  FailableStore store;
+  store.on_call = [&now] { now = now + Millis(1000); };
+  store::TopicReplica replica;
+  store::Follower::Hooks hooks;
+  hooks.should_read = [&reads](Topic) { return reads; };
+  hooks.is_delegate = [] { return true; };
+  hooks.replica = [&replica](Topic) -> const store::TopicReplica& {
+    return replica;
+  };
+  hooks.on_update = [](Topic, const Update&, Millis) {};
+  store::Follower follower(base::Clock([&now] { return now; }), store, hooks);
+  base::Spawn(context.get_executor(), follower.FollowTopic(Topic::kUpstreams));
+  while (store.calls < 2) {
+    context.run_one();
+  }
+  CHECK(follower.is_store_slow());
+  reads = false;
+  context.run_for(2 * std::chrono::milliseconds(
+                          store::Follower::kIdlePollInterval.count() +
+                          store::Follower::kUpstreamsReadInterval.count()));
+  CHECK_FALSE(follower.is_store_slow());
+}
+
 TEST_CASE("an entry that expired in a store outage does not mean leaving",
           "[upstreams]") {
   int notices = 0;
