Hand requests over to a daemon that reaches their pool

Cause: a daemon knew of no way to an upstream but its own.

Change: UpstreamReach finds pools that this daemon can't reach, daemons state these and where they take callers in heartbeats (ReachDirectory), and HandOver sends a request that certainly reached no upstream to one that reaches its pool. A request is handed over once; the mark never reaches an upstream.

--- a/src/kernel/fleet_daemon.cc
+++ b/src/kernel/fleet_daemon.cc
@@ -22,12 +22,15 @@
 #include "kernel/rollout_service.h"
 #include "kernel/serving_telemetry.h"
 #include "membership/mesh.h"
+#include "membership/reach_directory.h"
 #include "membership/transport.h"
 #include "relay/forwarder.h"
+#include "relay/hand_over.h"
 #include "relay/stream_origins.h"
 #include "routing/load_exchange.h"
 #include "routing/self_report_exchange.h"
 #include "routing/self_reports.h"
+#include "routing/upstream_reach.h"
 #include "store/follower.h"
 #include "store/reader_election.h"
 #include "telemetry/events.h"
@@ -139,6 +142,13 @@
                          {"limit", absl::StrCat(limit)},
                          {"slots", absl::StrCat(slots)}});
                  }}),
+        reach_(ReachHooks()),
+        reach_directory_(settings_.host,
+                         settings_.data_centre,
+                         settings_.callers,
+                         clock_),
+        hand_over_{reach_, reach_directory_,
+                   [this] { return spread_(random_); }},
         migrator_(executor, clock_, adapter_.engines, MigratorHooks()),
         retry_budget_(RetryBounds()),
         forwarder_({executor, clock_, adapter_.protocol, placer_, migrator_,
@@ -148,7 +158,8 @@
                     [this] { return MakeAdmissionState(); },
                     [this](const base::PoolName& pool, Millis longest) {
                       return OnlyVersion(pool, longest);
-                    }}),
+                    },
+                    &hand_over_}),
         caller_server_(
             executor,
             CallerLimits(),
@@ -358,6 +369,9 @@
       DetectStoreRecovery();
       rollouts_.Tick();
       quarantine_.Tick(now);
+      reach_.Prune(now);
+      reach_directory_.SetOwn(reach_.LostPools(), IsReady());
+      reach_directory_.Prune();
       if (quarantine_.quarantine_count() > 0) {
         forwarder_.RejectUnsendable();
       }
@@ -686,10 +700,14 @@
     };
     hooks.add_self_reports = [this](bool all, proto::FleetBeat* heartbeat) {
       routing::AddSelfReports(self_reports_, all, clock_.Now(), heartbeat);
+      reach_directory_.AddTo(all, heartbeat);
+    };
+    hooks.has_new_self_reports = [this] {
+      return self_reports_.has_changes() || reach_directory_.has_changes();
     };
-    hooks.has_new_self_reports = [this] { return self_reports_.has_changes(); };
     hooks.on_self_reports = [this](const proto::FleetBeat& heartbeat) {
       routing::ApplySelfReports(heartbeat, clock_.Now(), self_reports_);
+      reach_directory_.Apply(heartbeat);
     };
     rollouts_.AddHooks(&hooks);
     hooks.is_reader = [this](Topic topic) {
@@ -763,6 +781,24 @@
             }};
   }
 
+  routing::UpstreamReach::Hooks ReachHooks() {
+    return {[this](const base::PoolName& pool, size_t failed) {
+              Emit(Event::kReachLost,
+                   {{"pool", pool.value()},
+                    {"upstreams", absl::StrCat(failed)},
+                    {"peers", reach_directory_.HasPeer(pool) ? "1" : "0"}});
+            },
+            [this](const base::PoolName& pool, Millis lost_for,
+                   const std::set<UpstreamId>& failed) {
+              for (const UpstreamId& id : failed) {
+                health_.Excuse(id);
+              }
+              Emit(Event::kReachRegained,
+                   {{"pool", pool.value()},
+                    {"lost_ms", absl::StrCat(lost_for.count())}});
+            }};
+  }
+
   routing::SelfReports::Hooks SelfReportHooks() {
     routing::SelfReports::Hooks hooks;
     hooks.on_leaving = [this](const UpstreamId& id, std::string_view reason) {
@@ -854,6 +890,9 @@
   std::minstd_rand random_{std::random_device()()};
   std::uniform_real_distribution<double> spread_;
   relay::Placer placer_;
+  routing::UpstreamReach reach_;
+  membership::ReachDirectory reach_directory_;
+  relay::HandOverServices hand_over_;
   migration::Migrator migrator_;
   relay::PoolRetryBudget retry_budget_;
   admission::StopDeadline stop_;
--- a/src/membership/mesh.cc
+++ b/src/membership/mesh.cc
@@ -641,9 +641,11 @@
   *heartbeat->mutable_self_reports() = news.self_reports.self_reports();
   *heartbeat->mutable_rollout_decisions() =
       news.self_reports.rollout_decisions();
+  *heartbeat->mutable_reaches() = news.self_reports.reaches();
   return heartbeat->loads_size() > 0 || heartbeat->views_size() > 0 ||
          heartbeat->has_part_evidence() || heartbeat->self_reports_size() > 0 ||
-         heartbeat->rollout_decisions_size() > 0;
+         heartbeat->rollout_decisions_size() > 0 ||
+         heartbeat->reaches_size() > 0;
 }
 
 void Mesh::Send(const HostId& to, Link& link, const proto::Envelope& message) {
--- a/src/membership/mesh.h
+++ b/src/membership/mesh.h
@@ -219,7 +219,7 @@
   /// What changed since the last message with news.
   struct News {
     std::optional<proto::PartEvidence> evidence;
-    /// With the decisions on roll-outs.
+    /// With the decisions on roll-outs, or what daemons say of their reach.
     proto::FleetBeat self_reports;
     /// The daemons of this data centre that are up.
     bool view = false;
--- a/src/relay/forwarder.cc
+++ b/src/relay/forwarder.cc
@@ -103,10 +103,18 @@
     const AdmissionState& state) {
   std::variant<AdmittedRequest, Rejection> admission =
       AdmitRequest(request, parsed, state);
-  auto* admitted = std::get_if<AdmittedRequest>(&admission);
-  if (!admitted) {
+  const bool handed_over = parsed.ok() && parsed->handed_over;
+  if (auto* rejection = std::get_if<Rejection>(&admission)) {
+    rejection->refuses_hand_over =
+        handed_over && rejection->status == kUnavailable;
     return admission;
   }
+  auto* admitted = std::get_if<AdmittedRequest>(&admission);
+  // An older configuration must not decide on what a newer one has admitted.
+  if (handed_over && state.catalogue->version < *parsed->handed_over) {
+    return Rejection{kUnavailable, "the configuration here is older",
+                     kRetryAtOtherDaemon, true};
+  }
   const Millis now = services_.clock.Now();
   const std::vector<base::PartId>& parts = admitted->caller.shared_parts;
   const std::optional<base::PartId> part =
@@ -180,16 +188,7 @@
     co_return;
   }
   call->pool = pool->name;
-  services_.retry_budget.RecordRequest(pool->name, call->arrived);
-  const bool stream =
-      call->admitted.route.kind == fleet::RequestKind::kGeneration &&
-      pool->engine;
-  ForwardResult result;
-  if (stream) {
-    result = co_await ForwardStream(services_, call, *pool);
-  } else {
-    result = co_await ForwardPlain(services_, call, *pool);
-  }
+  ForwardResult result = co_await SendOrHandOver(call, *pool);
   if (result.end != SendOutcome::kAnswered) {
     co_await RespondWithFailure(call, std::move(result));
     co_return;
@@ -209,6 +208,44 @@
         {"took_ms", absl::StrCat(took.count())}});
 }
 
+Task<ForwardResult> Forwarder::SendOrHandOver(ForwardCallPtr call,
+                                              const fleet::Pool& pool) {
+  ForwardResult result;
+  if (RefusesHandedOver(services_, *call)) {
+    result.reason = "this daemon can't reach the pool, either";
+    co_return result;
+  }
+  const bool first = HandsOverFirst(services_, *call);
+  if (first) {
+    result = co_await HandOver(services_, call);
+  }
+  if (!first || result.end == SendOutcome::kNotSent) {
+    result = co_await SendToPool(call, pool);
+  }
+  const bool unreached = !first && result.end == SendOutcome::kNotSent &&
+                         call->history.unsent > 0 &&
+                         MayHandOver(services_, *call);
+  if (unreached) {
+    result = co_await HandOver(services_, call);
+  }
+  co_return result;
+}
+
+Task<ForwardResult> Forwarder::SendToPool(ForwardCallPtr call,
+                                          const fleet::Pool& pool) {
+  services_.retry_budget.RecordRequest(pool.name, call->arrived);
+  const bool stream =
+      call->admitted.route.kind == fleet::RequestKind::kGeneration &&
+      pool.engine;
+  ForwardResult result;
+  if (stream) {
+    result = co_await ForwardStream(services_, call, pool);
+  } else {
+    result = co_await ForwardPlain(services_, call, pool);
+  }
+  co_return result;
+}
+
 Task<void> Forwarder::RespondWithFailure(ForwardCallPtr call,
                                          ForwardResult end) {
   const Millis took = services_.clock.Now() - call->arrived;
@@ -217,6 +254,9 @@
   rejection.reason = std::move(end.reason);
   if (rejection.status == kUnavailable) {
     rejection.retry_after = RetryAfter(end);
+    rejection.refuses_hand_over =
+        call->admitted.caller.handed_over &&
+        (call->history.unsent > 0 || RefusesHandedOver(services_, *call));
   }
   Emit(Event::kRequestFailed,
        {{"request", call->admitted.caller.id.value()},
@@ -240,6 +280,9 @@
   services_.metrics.AddRejection(absl::StrCat(rejection.status));
   http::Response answer = services_.protocol.make_rejection(
       rejection.status, rejection.reason, rejection.retry_after);
+  if (rejection.refuses_hand_over) {
+    services_.protocol.mark_refused_hand_over(&answer);
+  }
   (void)co_await exchange.Respond(std::move(answer));
 }
 
--- a/src/relay/forwarder.h
+++ b/src/relay/forwarder.h
@@ -13,6 +13,7 @@
 #include "http/server.h"
 #include "migration/migrator.h"
 #include "relay/forward_call.h"
+#include "relay/hand_over.h"
 #include "relay/placer.h"
 #include "relay/platform_protocol.h"
 #include "relay/request_admission.h"
@@ -50,6 +51,8 @@
   std::function<std::optional<base::SoftwareVersion>(const base::PoolName&,
                                                      base::Millis)>
       only_version = {};
+  /// Null if requests are not handed over to other daemons.
+  const HandOverServices* hand_over = nullptr;
 };
 
 /// Forwards requests of any method, path and body to an upstream of their
@@ -80,6 +83,12 @@
   /// Answers a request that was rejected or failed.
   base::Task<void> Reject(http::Exchange& exchange, Rejection rejection);
   base::Task<void> Forward(ForwardCallPtr call);
+  /// Sends the request to the pool's upstreams or hands it over to another
+  /// daemon that reaches them.
+  base::Task<ForwardResult> SendOrHandOver(ForwardCallPtr call,
+                                           const fleet::Pool& pool);
+  base::Task<ForwardResult> SendToPool(ForwardCallPtr call,
+                                       const fleet::Pool& pool);
   /// Ends a request that got no answer from an upstream.
   base::Task<void> RespondWithFailure(ForwardCallPtr call, ForwardResult end);
 
--- a/src/relay/placer.cc
+++ b/src/relay/placer.cc
@@ -465,4 +465,11 @@
   cold_sends_[upstream.id].Record(now);
 }
 
+size_t Placer::CountUpstreams(const base::PoolName& pool) const {
+  const auto& listed = upstreams_.listed_upstreams();
+  return static_cast<size_t>(std::count_if(
+      listed.begin(), listed.end(),
+      [&pool](const auto& item) { return item.second.entry.pool == pool; }));
+}
+
 }  // namespace dandelion::relay
--- a/src/relay/placer.h
+++ b/src/relay/placer.h
@@ -135,6 +135,9 @@
   /// free.
   void DispatchWaiting();
 
+  /// Number of the upstreams of a pool that are listed.
+  size_t CountUpstreams(const base::PoolName& pool) const;
+
   /// Number of waiting requests.
   size_t waiting() const { return waiting_.size(); }
 
--- a/src/relay/platform_protocol.h
+++ b/src/relay/platform_protocol.h
@@ -42,6 +42,9 @@
   /// The caller accepts only one version of the model's weights. An upstream
   /// with another one refuses the request.
   bool requires_version = false;
+  /// Another daemon, which can't reach the pool, has handed the request over:
+  /// the version of that daemon's configuration. It is not handed on.
+  std::optional<int64_t> handed_over;
 };
 
 /// A copy of a generation's KV cache on another engine. `handle` names it at
@@ -84,6 +87,17 @@
   base::RequestId request;
   /// What the upstream says of itself.
   routing::SelfReport self = {};
+  /// A daemon refuses a request that was handed over to it: it did not send the
+  /// request and can't, but another daemon may.
+  bool refused_hand_over = false;
+};
+
+/// What is added to a request that is handed over to another daemon.
+struct HandOverMark {
+  /// The version of the configuration by which it was admitted.
+  int64_t config_version = 0;
+  /// Time left until the final answer is due.
+  base::Millis deadline_left{0};
 };
 
 /// Converts requests and answers between the daemon and the headers of one
@@ -105,6 +119,12 @@
                                std::string_view reason,
                                std::optional<base::Millis> retry_after)>
       make_rejection;
+  /// Makes the head of the request that is handed over to another daemon: as
+  /// the caller sent it, with the mark.
+  std::function<http::Request(const http::Request&, const HandOverMark&)>
+      make_handed_over_request;
+  /// Makes a rejection refuse a request that was handed over.
+  std::function<void(http::Response*)> mark_refused_hand_over;
 };
 
 /// How a copy of a generation's KV cache ended.
--- a/src/relay/request_admission.h
+++ b/src/relay/request_admission.h
@@ -64,6 +64,8 @@
   int status = 503;
   std::string reason;
   std::optional<base::Millis> retry_after;
+  /// The request was handed over, and another daemon may serve it.
+  bool refuses_hand_over = false;
 };
 
 /// Admits a request if it has a route, a valid API key where one is needed, and
--- a/src/relay/send_once.cc
+++ b/src/relay/send_once.cc
@@ -143,6 +143,7 @@
   call->history.RecordSend(reply.end);
   const Millis now = services.clock.Now();
   RecordHealth(services, place, reply.end, now);
+  RecordReach(services, *call, place.upstream, reply.end, reply.has_head);
   RecordSelfReport(services, place, reply, now);
   RecordForRollout(services, *call, place, reply, now - started);
   if (reply.end == SendOutcome::kAnswered && !engine) {
@@ -270,6 +271,9 @@
       !MayRetry(call.admitted.route, call.history)) {
     return false;
   }
+  if (end == SendOutcome::kNotSent && LeavesToPeer(services, call)) {
+    return false;
+  }
   // A send without a connection caused no load, so its retry is free.
   const bool retry = end == SendOutcome::kNotSent ||
                      services.retry_budget.TrySpend(
--- a/src/relay/upstream_call.cc
+++ b/src/relay/upstream_call.cc
@@ -149,6 +149,7 @@
     co_return reply;
   }
   reply.head = *std::move(head);
+  reply.has_head = true;
   reply.end =
       ClassifyAnswer(call, reply.answer, reply.head.status, &reply.reason);
   co_return reply;
--- a/src/relay/upstream_call.h
+++ b/src/relay/upstream_call.h
@@ -40,6 +40,8 @@
   SendOutcome end = SendOutcome::kNotSent;
   std::unique_ptr<http::Connection> connection;
   http::Response head;
+  /// Whether `head` is that of an answer to the request.
+  bool has_head = false;
   UpstreamResponseHead answer;
   /// Cause of any end other than `kAnswered`.
   std::string reason;
--- a/src/routing/upstream_health.cc
+++ b/src/routing/upstream_health.cc
@@ -34,6 +34,21 @@
   }
 }
 
+void UpstreamHealth::Excuse(const UpstreamId& id) {
+  const auto known = stats_.find(id);
+  if (known == stats_.end()) {
+    return;
+  }
+  Stats& stats = known->second;
+  stats.consecutive_failures = 0;
+  stats.consecutive_ejections = 0;
+  stats.failure_rate = 0;
+  if (stats.ejected_until) {
+    stats.ejected_until.reset();
+    hooks_.on_readmit(id);
+  }
+}
+
 void UpstreamHealth::Eject(const UpstreamId& id, Stats& stats, Millis now) {
   if (stats.ejected_until && now < *stats.ejected_until) {
     return;
--- a/src/routing/upstream_health.h
+++ b/src/routing/upstream_health.h
@@ -85,6 +85,9 @@
   /// Removes all that is known of an upstream, without calling a hook.
   void Forget(const base::UpstreamId& id) { stats_.erase(id); }
 
+  /// Forgets failures that are known not to be the upstream's.
+  void Excuse(const base::UpstreamId& id);
+
   /// Whether the upstream is ejected at `now`. Once the ejection is over, a
   /// success readmits the upstream and a failure ejects it again at once.
   bool IsEjected(const base::UpstreamId& id, base::Millis now) const;
--- a/src/telemetry/events.h
+++ b/src/telemetry/events.h
@@ -94,6 +94,9 @@
   kPartCleared = 532,
   kQuarantinesRestored = 533,
   kQuarantinesRecorded = 534,
+  kReachLost = 550,
+  kReachRegained = 551,
+  kHandedOver = 552,
 };
 
 /// The severity of an event, lowest first.
--- a/src/telemetry/metrics.cc
+++ b/src/telemetry/metrics.cc
@@ -91,6 +91,10 @@
     CounterRow{CounterId::kTakeUpsOfUnknownOrigin,
                "dandelion_take_ups_of_unknown_origin_total",
                "Streams that callers took up and whose origin was not known"},
+    CounterRow{CounterId::kHandOvers, "dandelion_hand_overs_total",
+               "Requests that another daemon has answered"},
+    CounterRow{CounterId::kHandOversFailed, "dandelion_hand_overs_failed_total",
+               "Attempts to hand a request over that gave no answer"},
 };
 
 // Upper bounds in seconds.
--- a/src/telemetry/metrics.h
+++ b/src/telemetry/metrics.h
@@ -37,6 +37,8 @@
   kPeerSeconds,
   kTakeUps,
   kTakeUpsOfUnknownOrigin,
+  kHandOvers,
+  kHandOversFailed,
 };
 
 /// The daemon's metrics.
--- a/test/forward-support.cc
+++ b/test/forward-support.cc
@@ -222,15 +222,7 @@
       executor(), clock_, origin_store,
       relay::StreamOrigins::Hooks{base::UnixNowMs, [] { return 100.0; },
                                   [] { return false; }});
-  forwarder_ = std::make_unique<relay::Forwarder>(relay::ForwardServices{
-      executor(), clock_, protocol_, *placer, *migrator, engines, health,
-      self_reports, retry_budget, metrics, stop, quarantine, rollouts, *origins,
-      [] { return size_t{1}; },
-      [this] {
-        return relay::AdmissionState{catalogue_, catalogue_age, Millis(4000),
-                                     Millis(2000), stop.TimeLeft(clock_.Now())};
-      },
-      [this](const base::PoolName&, Millis) { return only_version; }});
+  forwarder_ = std::make_unique<relay::Forwarder>(MakeServices());
   callers_ = std::make_unique<http::Server>(
       executor(), http::ServerLimits(), [this](http::Exchange& exchange) {
         return forwarder_->Handle(exchange);
@@ -242,6 +234,49 @@
   }
 }
 
+relay::ForwardServices ForwardFixture::MakeServices() {
+  return {executor(),
+          clock_,
+          protocol_,
+          *placer,
+          *migrator,
+          engines,
+          health,
+          self_reports,
+          retry_budget,
+          metrics,
+          stop,
+          quarantine,
+          rollouts,
+          *origins,
+          [] { return size_t{1}; },
+          [this] {
+            return relay::AdmissionState{catalogue_, catalogue_age,
+                                         Millis(4000), Millis(2000),
+                                         stop.TimeLeft(clock_.Now())};
+          },
+          [this](const base::PoolName&, Millis) { return only_version; },
+          hand_over_.get()};
+}
+
+void ForwardFixture::EnableHandOver() {
+  reach =
+      std::make_unique<routing::UpstreamReach>(routing::UpstreamReach::Hooks{
+          [](const base::PoolName&, size_t) {},
+          [this](const base::PoolName&, Millis,
+                 const std::set<base::UpstreamId>& failed) {
+            for (const base::UpstreamId& id : failed) {
+              health.Excuse(id);
+            }
+          }});
+  reach_directory = std::make_unique<membership::ReachDirectory>(
+      base::HostId("front-1"), base::DataCentreId("dc-a"),
+      tcp::endpoint(boost::asio::ip::address_v4::loopback(), port()), clock_);
+  hand_over_ = std::make_unique<relay::HandOverServices>(
+      relay::HandOverServices{*reach, *reach_directory, [] { return 0.5; }});
+  forwarder_ = std::make_unique<relay::Forwarder>(MakeServices());
+}
+
 ForwardFixture::ForwardFixture(const std::string& name,
                                fleet::RequestKind kind,
                                int max_upstreams)
--- a/test/forward-support.h
+++ b/test/forward-support.h
@@ -158,6 +158,9 @@
   /// not affected.
   void AdvanceClock(base::Millis by);
   relay::Forwarder& forwarder() { return *forwarder_; }
+  /// Lets the daemon hand requests over to those in `reach_directory`. To be
+  /// called before the first request.
+  void EnableHandOver();
   unsigned short port() const { return callers_->port(); }
 
   /// Software version of the upstreams that are added from now on.
@@ -179,8 +182,12 @@
   std::unique_ptr<relay::StreamOrigins> origins;
   /// The only version that can have begun any stream.
   std::optional<base::SoftwareVersion> only_version;
+  /// Null unless hand-overs are enabled.
+  std::unique_ptr<routing::UpstreamReach> reach;
+  std::unique_ptr<membership::ReachDirectory> reach_directory;
 
  private:
+  relay::ForwardServices MakeServices();
   void RegisterUpstream(const std::string& id,
                         const std::string& pool,
                         const boost::asio::ip::tcp::endpoint& address);
@@ -192,6 +199,7 @@
   relay::PlatformProtocol protocol_;
   fleet::Catalogue draft_;
   fleet::CataloguePtr catalogue_;
+  std::unique_ptr<relay::HandOverServices> hand_over_;
   std::unique_ptr<relay::Forwarder> forwarder_;
   std::unique_ptr<http::Server> callers_;
   std::map<std::string, std::unique_ptr<FakeUpstream>> fakes_;
