--- a/test/fake-store.cc
+++ b/test/fake-store.cc
@@ -137,6 +137,14 @@
   ++era_;
 }
 
+void FakeStore::LoseNewest(const std::string& topic, size_t count) {
+  Records& records = topics_[topic];
+  records.items.resize(records.items.size() -
+                       std::min(count, records.items.size()));
+  records.first_kept = std::min(records.first_kept, records.items.size());
+  ++era_;
+}
+
 std::string FakeStore::NewestValue(const std::string& key,
                                    const std::string& topic) {
   const std::vector<Item>& items = topics_[topic].items;
--- a/test/fake-store.h
+++ b/test/fake-store.h
@@ -59,6 +59,8 @@
   /// Comes back from a copy that lacks the records of `topic`, with the next
   /// `Store-Era`.
   void LoseRecords(const std::string& topic);
+  /// Likewise from a copy that lacks the newest `count` records of `topic`.
+  void LoseNewest(const std::string& topic, size_t count);
   /// Lets reads wait for records as long as they ask to, as the platform's
   /// store does. Otherwise they wait for a moment only.
   void HonourWaits() { honours_waits_ = true; }
