Retry the operators' topic sooner at daemons that are no delegates

Callers would see the service of an older version, at a daemon that is no delegate: its pause between failing reads grew to 3 s, and a call that began to hang just before its way to the store was sound again takes 0.95 s more. So it read 3.95 s after that, when it has counted as in touch for 0.95 s, with changes that are up to 2.95 s old not in force if no delegate could tell of them.

The pause is 1.5 s at most for the operators' topic; for the upstreams' topic, where the cost of many callers lies, it stays at 3 s.

"a change waits for a pause after the way to the store is sound": 2 of 4 checks failed with 3 s, all pass now.

--- a/src/store/follower.cc
+++ b/src/store/follower.cc
@@ -30,9 +30,8 @@
     }
     const bool read = co_await ReadOnce(topic);
     if (!read) {
-      const Millis max_pause =
-          hooks_.is_delegate() ? kMaxRetryPause : kMaxRetryPauseOfOthers;
-      co_await base::SleepFor(backoff.Next(max_pause));
+      co_await base::SleepFor(
+          backoff.Next(MaxRetryPause(topic, hooks_.is_delegate())));
       continue;
     }
     backoff.Reset();
@@ -42,6 +41,14 @@
   }
 }
 
+Millis Follower::MaxRetryPause(Topic topic, bool is_delegate) {
+  if (is_delegate) {
+    return kMaxRetryPause;
+  }
+  return topic == Topic::kOperator ? kMaxOperatorRetryPauseOfOthers
+                                   : kMaxRetryPauseOfOthers;
+}
+
 void Follower::NoteEra(Topic topic) {
   const TopicReplica& replica = hooks_.replica(topic);
   if (!replica.started()) {
--- a/src/store/follower.h
+++ b/src/store/follower.h
@@ -28,6 +28,10 @@
   /// daemon: many of them may try while the store is away.
   static constexpr base::Millis kMaxRetryPause{800};
   static constexpr base::Millis kMaxRetryPauseOfOthers{3000};
+  /// Likewise of any other daemon for the operators' topic: 3 s after its way
+  /// to the store is sound, no change may be older than 2 s and not in force,
+  /// though a call may have hung for a second and been paused after.
+  static constexpr base::Millis kMaxOperatorRetryPauseOfOthers{1500};
   /// How often a daemon that is not the reader checks whether it became so.
   static constexpr base::Millis kIdlePollInterval{50};
   /// The store counts as slow if an answer takes this much longer than the
@@ -57,6 +61,8 @@
   /// Reads `topic` until the process ends.
   base::Task<void> FollowTopic(Topic topic);
 
+  /// The longest pause between reads of `topic` that fail.
+  static base::Millis MaxRetryPause(Topic topic, bool is_delegate);
   /// Whether a read of `topic` succeeded within `kMaxReadAge`. Peers must not
   /// count an elected daemon as a reader while it can't read the topic.
   bool HasRecentRead(Topic topic) const;
--- a/test/fleet-test.cc
+++ b/test/fleet-test.cc
@@ -390,6 +390,23 @@
   }
 }
 
+// A call may have begun to hang just before the way was sound again.
+TEST_CASE("a change waits for a pause after the way to the store is sound",
+          "[reader]") {
+  constexpr Millis kContactTime(3000);
+  constexpr Millis kChangeDelay(2000);
+  constexpr Millis kResponseTimeout(700);
+  constexpr Millis kHungCall =
+      store::Follower::kOperatorLongPoll + kResponseTimeout;
+  constexpr Millis kSpare(300);
+  for (const bool is_delegate : {false, true}) {
+    const Millis pause =
+        store::Follower::MaxRetryPause(Topic::kOperator, is_delegate);
+    CHECK(kHungCall + pause + kSpare <= kContactTime);
+    CHECK(pause + kSpare <= kChangeDelay);
+  }
+}
+
 /// A store whose calls return an empty update at once, or fail.
 class FailableStore : public store::MetadataStore {
  public:
