--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -393,13 +393,16 @@
 
 Task<absl::StatusOr<std::unique_ptr<Connection>>> Client::AcquireConnection(
     tcp::endpoint endpoint,
-    Millis timeout) {
+    Millis timeout,
+    std::optional<Millis> max_idle) {
+  const Millis now = base::Clock::Monotonic().Now();
   auto& idle = idle_connections_[EndpointText(endpoint)];
   while (!idle.empty()) {
-    std::unique_ptr<Connection> connection = std::move(idle.back());
+    IdleConnection kept = std::move(idle.back());
     idle.pop_back();
-    if (!connection->HasUnexpectedInput()) {
-      co_return connection;
+    const bool is_too_old = max_idle && now - kept.since > *max_idle;
+    if (!is_too_old && !kept.connection->HasUnexpectedInput()) {
+      co_return std::move(kept.connection);
     }
   }
   co_return co_await Connect(endpoint, timeout);
@@ -409,7 +412,7 @@
                                std::unique_ptr<Connection> connection) {
   auto& idle = idle_connections_[EndpointText(endpoint)];
   if (connection->IsReusable() && idle.size() < kMaxIdlePerEndpoint) {
-    idle.push_back(std::move(connection));
+    idle.push_back({std::move(connection), base::Clock::Monotonic().Now()});
   }
 }
 
@@ -421,7 +424,8 @@
   if (limits.new_connection) {
     connection = co_await Connect(endpoint, limits.connect_timeout);
   } else {
-    connection = co_await AcquireConnection(endpoint, limits.connect_timeout);
+    connection = co_await AcquireConnection(endpoint, limits.connect_timeout,
+                                            limits.max_idle);
   }
   if (!connection.ok()) {
     co_return FetchResult{connection.status()};
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -3,6 +3,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -84,6 +85,9 @@
   /// request that must not be retried: the server may have closed an idle
   /// connection, and a send on it would fail with an unknown outcome.
   bool new_connection = false;
+  /// Connections that have been idle for longer are closed, not reused: the way
+  /// to the server may have broken without notice. Any are reused if unset.
+  std::optional<base::Millis> max_idle;
   /// The group that the connection is in during the fetch; null for none.
   ConnectionGroup* group = nullptr;
 };
@@ -107,10 +111,12 @@
                                 Request request,
                                 FetchLimits limits);
   /// Returns an idle connection to `endpoint` if there is one, else a new one.
-  /// Idle ones that are closed or on which something has arrived are dropped.
+  /// Idle ones that are closed, on which something has arrived, or that have
+  /// been idle for longer than `max_idle` are dropped.
   base::Task<absl::StatusOr<std::unique_ptr<Connection>>> AcquireConnection(
       boost::asio::ip::tcp::endpoint endpoint,
-      base::Millis timeout);
+      base::Millis timeout,
+      std::optional<base::Millis> max_idle = std::nullopt);
   /// Keeps `connection` for reuse, or closes it if it is not reusable or enough
   /// idle connections to `endpoint` are kept.
   void ReleaseConnection(const boost::asio::ip::tcp::endpoint& endpoint,
@@ -119,7 +125,11 @@
  private:
   static constexpr size_t kMaxIdlePerEndpoint = 64;
 
-  std::unordered_map<std::string, std::vector<std::unique_ptr<Connection>>>
+  struct IdleConnection {
+    std::unique_ptr<Connection> connection;
+    base::Millis since;
+  };
+  std::unordered_map<std::string, std::vector<IdleConnection>>
       idle_connections_;
 };
 
