Test that no daemon takes records for verified that it lacks

Twelve daemons in three data centres on a set clock, of which any may read one topic, while links drop or hold messages in either direction, messages that were held arrive in a burst, daemons freeze, start again under their names and become readers or stop being them, and the log is truncated. At each 50 ms, each daemon must hold of each key a value that the topic had at the time as of which the daemon takes itself for complete, or later.

--- a/test/mesh-fixture.h
+++ b/test/mesh-fixture.h
@@ -130,12 +130,17 @@
           is_cut(message.from, message.to)) {
         continue;
       }
+      if (is_held(message.from, message.to)) {
+        held_.push_back(std::move(message));
+        continue;
+      }
       if (!tamper(&message.envelope)) {
         continue;
       }
       CountMessage(message, *to->second);
       to->second->mesh->OnMessage(HostId(message.from), message.envelope);
     }
+    messages_.swap(held_);
   }
 
   /// Ends a daemon without notice.
@@ -158,6 +163,10 @@
   /// Whether a message from the first to the second daemon is dropped.
   std::function<bool(const std::string& from, const std::string& to)> is_cut =
       [](const std::string&, const std::string&) { return false; };
+  /// Whether messages from the first to the second daemon wait. Those that have
+  /// waited arrive in their order once this ends.
+  std::function<bool(const std::string& from, const std::string& to)> is_held =
+      [](const std::string&, const std::string&) { return false; };
   /// May change a message on its way. Returns whether it arrives.
   std::function<bool(proto::Envelope*)> tamper = [](proto::Envelope*) {
     return true;
@@ -270,6 +279,7 @@
   Millis now_{10'000};
   std::map<std::string, std::unique_ptr<Daemon>> daemons_;
   std::deque<Message> messages_;
+  std::deque<Message> held_;
 };
 
 }  // namespace dandelion::test
