--- a/test/verification-test.cc
+++ b/test/verification-test.cc
@@ -248,7 +248,7 @@
         }
       }
       Advance(kStep);
-      const std::string fault = FindFault();
+      std::string fault = FindFault();
       if (!fault.empty()) {
         return fault;
       }
