--- a/src/store/topic.cc
+++ b/src/store/topic.cc
@@ -53,8 +53,7 @@
     return true;
   }
   const Entry& entry = known->second;
-  const bool restored = newest_snapshot && entry.inferred_removal &&
-                        record.offset == entry.record.offset;
+  const bool restored = newest_snapshot && record.offset == entry.value_offset;
   return record.offset > entry.record.offset || restored;
 }
 
@@ -66,7 +65,7 @@
     key_digest_ ^= HashKey(record.key);
   }
   entry.record = record;
-  entry.inferred_removal = false;
+  entry.value_offset.reset();
 }
 
 void TopicReplica::RemoveAbsentKeys(const Update& update,
@@ -79,11 +78,15 @@
     const bool absent = !entry.record.removed && !present.contains(key) &&
                         entry.record.offset < update.from;
     if (absent) {
+      const int64_t value_offset = entry.record.offset;
       Record removal = entry.record;
       removal.removed = true;
       removal.value.clear();
+      // It was removed before the snapshot's end, so that who is complete up to
+      // an earlier offset lacks the removal.
+      removal.offset = update.from - 1;
       StoreRecord(removal);
-      entry.inferred_removal = true;
+      entry.value_offset = value_offset;
       changed->push_back(std::move(removal));
     }
   }
--- a/src/store/topic.h
+++ b/src/store/topic.h
@@ -3,6 +3,7 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -106,9 +107,9 @@
  private:
   struct Entry {
     Record record;
-    /// The removal was inferred from the key's absence from a snapshot; the
-    /// record has the offset of the key's last value.
-    bool inferred_removal = false;
+    /// Set if the removal was inferred from the key's absence from a snapshot:
+    /// the offset of the key's last value.
+    std::optional<int64_t> value_offset;
   };
 
   /// Whether `record` is newer than the known one, or restores a key whose
