Name an unknown stream's only version from a list as new as its take-up

Callers saw: while upstreams of a new version joined, a daemon that was cut off, had a late list or stood still took up streams that had begun at them through another daemon, and went on with them at the old version (ORDER).

Cause: a take-up whose origin is neither the daemon's own nor in the store goes on at the only version that its list has shown. The list counted as current for 3 s after its last verification, and 3 s more after its last record. Upstreams that others knew in that time were missing from it.

Change: the take-up waits, for 2 s at most, for a list verified as of its own arrival or later, and is refused with a retry otherwise. A stream begins before its caller asks for it, and after its upstream was listed. A gap is judged by the times of verifications and not of records.

Tests: the history's tests pass the time of the last verification in place of is_current; their bounds and checks are as they were.

--- a/src/fleet/version_history.cc
+++ b/src/fleet/version_history.cc
@@ -5,16 +5,12 @@
 using base::Millis;
 
 void VersionHistory::Record(const UpstreamList& upstreams,
-                            bool is_current,
+                            Millis verified_at,
                             Millis now) {
-  if (!is_current) {
-    known_since_.reset();
-    return;
-  }
-  if (!known_since_ || now - recorded_at_ > kMaxGap) {
+  if (!known_since_ || verified_at - verified_at_ > kMaxGap) {
     known_since_ = now;
   }
-  recorded_at_ = now;
+  verified_at_ = verified_at;
   for (const auto& [id, upstream] : upstreams.listed_upstreams()) {
     RecordListed(upstream, now);
   }
@@ -32,10 +28,10 @@
 std::optional<base::SoftwareVersion> VersionHistory::OnlyVersion(
     const base::PoolName& pool,
     Millis since,
-    Millis now) const {
+    Millis until) const {
   const bool is_known = known_since_ && *known_since_ <= since &&
-                        now - recorded_at_ <= kMaxGap &&
-                        now - since < kRetention - kMaxGap;
+                        verified_at_ >= until &&
+                        until - since < kRetention - kMaxGap;
   const auto listed = last_listed_.find(pool);
   if (!is_known || listed == last_listed_.end()) {
     return std::nullopt;
--- a/src/kernel/fleet_daemon.cc
+++ b/src/kernel/fleet_daemon.cc
@@ -151,15 +151,16 @@
                    [this] { return spread_(random_); }},
         migrator_(executor, clock_, adapter_.engines, MigratorHooks()),
         retry_budget_(RetryBounds()),
-        forwarder_({executor, clock_, adapter_.protocol, placer_, migrator_,
-                    adapter_.engines, health_, self_reports_, retry_budget_,
-                    metrics_, stop_, quarantine_, rollouts_.rollouts(),
-                    origins_, [this] { return mesh_.DaemonCount(); },
-                    [this] { return MakeAdmissionState(); },
-                    [this](const base::PoolName& pool, Millis longest) {
-                      return OnlyVersion(pool, longest);
-                    },
-                    &hand_over_}),
+        forwarder_(
+            {executor, clock_, adapter_.protocol, placer_, migrator_,
+             adapter_.engines, health_, self_reports_, retry_budget_, metrics_,
+             stop_, quarantine_, rollouts_.rollouts(), origins_,
+             [this] { return mesh_.DaemonCount(); },
+             [this] { return MakeAdmissionState(); },
+             [this](const base::PoolName& pool, Millis since, Millis until) {
+               return OnlyVersion(pool, since, until);
+             },
+             [this] { return UpstreamsVerifiedAt(); }, &hand_over_}),
         caller_server_(
             executor,
             CallerLimits(),
@@ -446,17 +447,25 @@
       return;
     }
     versions_recorded_at_ = now;
-    const bool is_current = fleet_state_.VerificationAgeOf(Topic::kUpstreams) <=
-                            fleet::VersionHistory::kMaxGap;
-    version_history_.Record(upstreams_, is_current, now);
+    if (fleet_state_.replica(Topic::kUpstreams).started()) {
+      version_history_.Record(upstreams_, UpstreamsVerifiedAt(), now);
+    }
+  }
+
+  // As of when the list of upstreams was last verified to be complete.
+  Millis UpstreamsVerifiedAt() const {
+    return clock_.Now() - fleet_state_.VerificationAgeOf(Topic::kUpstreams);
   }
 
-  // The only version of a pool that can have begun a stream in the last
-  // `longest`. Empty if it is not known.
+  // The only version of a pool that can have begun a stream from `since` to
+  // `until`. Empty if it is not known.
   std::optional<base::SoftwareVersion> OnlyVersion(const base::PoolName& pool,
-                                                   Millis longest) const {
-    const Millis now = clock_.Now();
-    return version_history_.OnlyVersion(pool, now - longest, now);
+                                                   Millis since,
+                                                   Millis until) {
+    if (fleet_state_.replica(Topic::kUpstreams).started()) {
+      version_history_.Record(upstreams_, UpstreamsVerifiedAt(), clock_.Now());
+    }
+    return version_history_.OnlyVersion(pool, since, until);
   }
 
   bool StoreUpdatesAreLate() const {
--- a/src/relay/forwarder.h
+++ b/src/relay/forwarder.h
@@ -45,12 +45,16 @@
   std::function<size_t()> daemons;
   /// Returns the current state by which requests are admitted.
   std::function<AdmissionState()> admission_state;
-  /// Returns the only version that can have begun any stream of the pool in the
-  /// time that is given; nothing if there were several or it is not known. May
+  /// Returns the only version that can have begun any stream of the pool from
+  /// `since` to `until`; nothing if there were several or it is not known. May
   /// be empty.
   std::function<std::optional<base::SoftwareVersion>(const base::PoolName&,
-                                                     base::Millis)>
+                                                     base::Millis since,
+                                                     base::Millis until)>
       only_version = {};
+  /// Returns as of when the list of upstreams was last verified to be complete.
+  /// Set if `only_version` is.
+  std::function<base::Millis()> upstreams_verified_at = {};
   /// Null if requests are not handed over to other daemons.
   const HandOverServices* hand_over = nullptr;
 };
--- a/src/relay/take_up.cc
+++ b/src/relay/take_up.cc
@@ -19,6 +19,11 @@
 // covers the time of the messages.
 constexpr Millis kTakeUpMargin{5000};
 
+// How long a take-up waits for a list of upstreams that is newer than it, and
+// how often it looks.
+constexpr Millis kMaxListWait{2000};
+constexpr Millis kListCheckInterval{30};
+
 // How long callers may take up a stream that begins now.
 Millis LongestTakeUp(const AdmittedRequest& request) {
   return std::max(request.route.timeout,
@@ -27,22 +32,30 @@
 }
 
 // The origin if the stream is not known itself: nothing unless the route has
-// one pool, and that can have begun it at one version only.
-StreamOrigins::Found FindOnlyOrigin(const ForwardServices& services,
-                                    const ForwardCall& call) {
+// one pool, and that can have begun it at one version only. The stream began
+// before its caller asked at `asked_at`, maybe through a daemon that knew newer
+// upstreams than this one: so the list must be verified as of then.
+Task<StreamOrigins::Found> FindOnlyOrigin(const ForwardServices& services,
+                                          ForwardCallPtr call,
+                                          Millis asked_at) {
   StreamOrigins::Found found;
-  const fleet::Route& route = call.admitted.route;
+  const fleet::Route& route = call->admitted.route;
   if (!services.only_version || route.pools.size() != 1) {
-    return found;
+    co_return found;
+  }
+  const Millis give_up_at = std::min(asked_at + kMaxListWait, call->deadline());
+  while (services.upstreams_verified_at() < asked_at &&
+         services.clock.Now() < give_up_at) {
+    co_await base::SleepFor(kListCheckInterval);
   }
   const base::PoolName& pool = route.pools.front().pool;
-  const std::optional<base::SoftwareVersion> version =
-      services.only_version(pool, LongestTakeUp(call.admitted));
+  const std::optional<base::SoftwareVersion> version = services.only_version(
+      pool, asked_at - LongestTakeUp(call->admitted), asked_at);
   if (version) {
     found.origin = StreamOrigin{pool, *version};
     found.source = OriginSource::kOnlyVersion;
   }
-  return found;
+  co_return found;
 }
 
 // The pool `name` if the route has it.
@@ -64,7 +77,7 @@
   StreamOrigins::Found found = co_await services.origins.Find(
       caller.resumes, call->deadline() - started);
   if (!found.origin) {
-    found = FindOnlyOrigin(services, *call);
+    found = co_await FindOnlyOrigin(services, call, started);
   }
   const StreamOrigin origin = found.origin.value_or(StreamOrigin());
   services.metrics.Add(CounterId::kTakeUps);
--- a/test/forward-support.cc
+++ b/test/forward-support.cc
@@ -235,28 +235,29 @@
 }
 
 relay::ForwardServices ForwardFixture::MakeServices() {
-  return {executor(),
-          clock_,
-          protocol_,
-          *placer,
-          *migrator,
-          engines,
-          health,
-          self_reports,
-          retry_budget,
-          metrics,
-          stop,
-          quarantine,
-          rollouts,
-          *origins,
-          [] { return size_t{1}; },
-          [this] {
-            return relay::AdmissionState{catalogue_, catalogue_age,
-                                         Millis(4000), Millis(2000),
-                                         stop.TimeLeft(clock_.Now())};
-          },
-          [this](const base::PoolName&, Millis) { return only_version; },
-          hand_over_.get()};
+  return {
+      executor(),
+      clock_,
+      protocol_,
+      *placer,
+      *migrator,
+      engines,
+      health,
+      self_reports,
+      retry_budget,
+      metrics,
+      stop,
+      quarantine,
+      rollouts,
+      *origins,
+      [] { return size_t{1}; },
+      [this] {
+        return relay::AdmissionState{catalogue_, catalogue_age, Millis(4000),
+                                     Millis(2000), stop.TimeLeft(clock_.Now())};
+      },
+      [this](const base::PoolName&, Millis, Millis) { return only_version; },
+      [this] { return Now(); },
+      hand_over_.get()};
 }
 
 void ForwardFixture::EnableHandOver() {
--- a/test/version-history-test.cc
+++ b/test/version-history-test.cc
@@ -25,10 +25,11 @@
     upstreams.ApplyEntry(UpstreamId(id), entry, now);
   }
   // Records the list each second until `end`.
-  void RecordUntil(Millis end, bool is_current = true) {
+  void RecordUntil(Millis end, bool is_verified = true) {
     for (; now <= end; now = now + Millis(1000)) {
       upstreams.Prune(now);
-      history.Record(upstreams, is_current, now);
+      verified_at = is_verified ? now : verified_at;
+      history.Record(upstreams, verified_at, now);
     }
     now = end;
   }
@@ -37,6 +38,7 @@
   }
 
   Millis now{0};
+  Millis verified_at{0};
   VersionHistory history;
   fleet::UpstreamList upstreams{
       {[this](const fleet::Upstream& upstream) {
@@ -109,6 +111,26 @@
   CHECK(fixture.OnlySince(Millis(25'000)) == kOld);
 }
 
+TEST_CASE("a version is named by a list that is older than the take-up",
+          "[order]") {
+  HistoryFixture fixture;
+  fixture.RecordUntil(Millis(20'000));
+  const auto only = [&fixture](Millis until) {
+    return fixture.history.OnlyVersion(kPool, Millis(5000), until);
+  };
+  CHECK(only(fixture.verified_at) == kOld);
+  CHECK_FALSE(only(fixture.verified_at + Millis(1)));
+  SECTION("the store and all peers are silent for less than the gap") {
+    fixture.RecordUntil(Millis(22'000), false);
+    CHECK_FALSE(only(Millis(22'000)));
+  }
+  SECTION("the process was held up and its list is old") {
+    fixture.now = Millis(22'500);
+    fixture.history.Record(fixture.upstreams, Millis(20'000), fixture.now);
+    CHECK_FALSE(only(Millis(22'500)));
+  }
+}
+
 TEST_CASE("a time is named that the history does not reach back to",
           "[order]") {
   HistoryFixture fixture;
