Bound what brittle upstreams have to reject

Callers saw: nothing yet. An upstream may say with `Server-Brittle` that it falls over once it has to reject more than N requests in a second for want of room, from all daemons together. The header was not read, so daemons that each saw free slots sent more than the upstream had room for, and sent again as soon as the rejections had freed the load that they knew.

Cause: what is sent to an upstream was bounded by its slots and by the loads that heartbeats tell, which are late, and nothing bounded the rejections.

Change: N is read, kept, logged (event 420) and told to peers as limits are. While it is in force, a daemon's requests at the upstream and its rejections of the last second stay within its share by rank of the slots plus N. The shares add up to that, and an upstream rejects only while requests fill its slots, so that at most N of the sum are rejections, whatever daemons know of each other. A report of brittleness alone no longer reads as the end of a limit.

The whole test programs had not been run at this commit.

--- a/src/kernel/fleet_daemon.cc
+++ b/src/kernel/fleet_daemon.cc
@@ -484,7 +484,7 @@
       for (const UpstreamId& id : migrator_.UsedEngines()) {
         const fleet::Upstream* upstream = upstreams_.Find(id);
         if (!upstream || upstream->leaving_since ||
-            !self_reports_.MaySend(id, clock_.Now())) {
+            !self_reports_.MayCall(id, clock_.Now())) {
           continue;
         }
         const auto address = upstream->entry.address;
@@ -825,6 +825,18 @@
                                     {"pause_ms", absl::StrCat(pause.count())}});
     };
     hooks.rank = [this](const UpstreamId& id) { return RankFor(id); };
+    hooks.on_brittle = [this](const UpstreamId& id,
+                              std::optional<double> rejections) {
+      Emit(Event::kUpstreamBrittle,
+           {{"upstream", id.value()},
+            {"rejections", rejections ? absl::StrCat(*rejections) : ""},
+            {"daemons", absl::StrCat(mesh_.DaemonCount())}});
+    };
+    hooks.room = [this](const UpstreamId& id) {
+      const fleet::Upstream* upstream = upstreams_.Find(id);
+      return routing::UpstreamRoom{upstream ? upstream->entry.slots : 0,
+                                   loads_.OwnLoad(id).running};
+    };
     return hooks;
   }
 
--- a/src/relay/send_once.cc
+++ b/src/relay/send_once.cc
@@ -23,6 +23,7 @@
 constexpr Millis kServiceConnectTimeout{150};
 constexpr Millis kEngineConnectTimeout{250};
 constexpr int kFirstServerError = 500;
+constexpr int kUnavailable = 503;
 
 void RecordHealth(const ForwardServices& services,
                   const migration::Place& place,
@@ -93,6 +94,10 @@
   if (reply.end == SendOutcome::kAnswered ||
       reply.end == SendOutcome::kNotRun) {
     services.self_reports.RecordAnswer(place.upstream, reply.answer.self, now);
+    if (reply.end == SendOutcome::kNotRun &&
+        reply.head.status == kUnavailable) {
+      services.self_reports.RecordRejection(place.upstream, now);
+    }
   } else if (reply.end == SendOutcome::kOtherUpstream) {
     services.self_reports.RecordEnded(place.upstream);
   }
--- a/src/routing/rate_share.cc
+++ b/src/routing/rate_share.cc
@@ -18,6 +18,22 @@
   return total / daemons + (gets_remainder ? 1 : 0);
 }
 
+int64_t SettledShare::Settle(int64_t share, Millis now, Millis window) {
+  if (!share_ || share <= *share_) {
+    share_ = share;
+    rises_at_.reset();
+    return share;
+  }
+  if (!rises_at_) {
+    rises_at_ = now + window;
+  }
+  if (now >= *rises_at_) {
+    share_ = share;
+    rises_at_.reset();
+  }
+  return *share_;
+}
+
 void SendWindow::Record(Millis now) {
   while (!sends_.empty() && now - sends_.front() >= kMaxWindow) {
     sends_.pop_front();
--- a/src/routing/rate_share.h
+++ b/src/routing/rate_share.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <optional>
 
 #include "base/clock.h"
 
@@ -24,6 +25,20 @@
 /// the others none.
 int64_t ShareOf(int64_t total, const DaemonRank& rank);
 
+/// This daemon's part of a limit over a window. One that has grown because
+/// daemons came or went counts a window later, when what others have sent on it
+/// is over.
+class SettledShare {
+ public:
+  /// Returns the part that this daemon may use, where `share` would be its part
+  /// by the daemons that it knows now.
+  int64_t Settle(int64_t share, base::Millis now, base::Millis window);
+
+ private:
+  std::optional<int64_t> share_;
+  std::optional<base::Millis> rises_at_;
+};
+
 /// The sends to one upstream within a sliding window.
 class SendWindow {
  public:
--- a/src/routing/self_report_exchange.cc
+++ b/src/routing/self_report_exchange.cc
@@ -17,6 +17,10 @@
       out->set_requests_per_second(*report.requests_per_second);
     }
     out->set_limit_age_ms(report.limit_age.count());
+    if (report.rejections_per_second) {
+      out->set_rejections_per_second(*report.rejections_per_second);
+    }
+    out->set_brittle_age_ms(report.brittle_age.count());
   }
 }
 
@@ -32,6 +36,12 @@
       report.requests_per_second = in.requests_per_second();
     }
     report.limit_age = base::AgeFromPeer(in.limit_age_ms());
+    if (in.has_rejections_per_second() && in.rejections_per_second() >= 0) {
+      report.rejections_per_second = in.rejections_per_second();
+    }
+    report.brittle_age = in.has_brittle_age_ms()
+                             ? base::AgeFromPeer(in.brittle_age_ms())
+                             : NamedNumber::kLifetime;
     reports.ApplyShared(report, now);
   }
 }
--- a/src/routing/self_reports.cc
+++ b/src/routing/self_reports.cc
@@ -47,12 +47,11 @@
     state.paused_until = std::max(state.paused_until, now + pause);
     hooks_.on_pause(id, pause);
   }
-  const bool still_holds = state.requests_per_second && state.limit_said_at &&
-                           now - *state.limit_said_at < kLimitHold;
-  if (report.requests_per_second) {
-    SetLimit(id, state, report.requests_per_second, now);
-  } else if (state.requests_per_second && !still_holds) {
-    SetLimit(id, state, std::nullopt, now);
+  if (state.limit.TakeAnswer(report.requests_per_second, now)) {
+    OnLimitChanged(id, state);
+  }
+  if (state.brittle.TakeAnswer(report.rejections_per_second, now)) {
+    OnBrittleChanged(id, state);
   }
 }
 
@@ -71,18 +70,17 @@
   hooks_.on_leaving(id, reason);
 }
 
-void SelfReports::SetLimit(const UpstreamId& id,
-                           State& state,
-                           std::optional<double> requests_per_second,
-                           Millis said_at) {
-  state.limit_said_at = said_at;
-  if (state.requests_per_second == requests_per_second) {
-    return;
-  }
-  state.requests_per_second = requests_per_second;
-  state.share.reset();
+void SelfReports::OnLimitChanged(const UpstreamId& id, State& state) {
+  state.share = SettledShare();
   state.changed = true;
-  hooks_.on_limit(id, requests_per_second);
+  hooks_.on_limit(id, state.limit.number());
+}
+
+void SelfReports::OnBrittleChanged(const UpstreamId& id, State& state) {
+  state.changed = true;
+  if (hooks_.on_brittle) {
+    hooks_.on_brittle(id, state.brittle.number());
+  }
 }
 
 void SelfReports::ApplyShared(const SharedSelfReport& report, Millis now) {
@@ -95,22 +93,25 @@
   if (report.leaving) {
     SetLeaving(report.upstream, state, "a peer was told");
   }
-  const Millis said_at = now - report.limit_age;
-  const bool has_limit =
-      report.requests_per_second || state.requests_per_second;
-  if (has_limit && (!state.limit_said_at || said_at > *state.limit_said_at)) {
-    SetLimit(report.upstream, state, report.requests_per_second, said_at);
+  if (state.limit.TakeShared(report.requests_per_second,
+                             now - report.limit_age)) {
+    OnLimitChanged(report.upstream, state);
+  }
+  if (state.brittle.TakeShared(report.rejections_per_second,
+                               now - report.brittle_age)) {
+    OnBrittleChanged(report.upstream, state);
   }
 }
 
 std::vector<SharedSelfReport> SelfReports::CollectShared(bool all, Millis now) {
   std::vector<SharedSelfReport> reports;
   for (auto& [id, state] : states_) {
-    const bool known = state.leaving || state.limit_said_at;
+    const bool known =
+        state.leaving || state.limit.is_known() || state.brittle.is_known();
     if (known && state.started_at && (all || state.changed)) {
       reports.push_back({id, *state.started_at, state.leaving,
-                         state.requests_per_second,
-                         now - state.limit_said_at.value_or(now)});
+                         state.limit.number(), state.limit.AgeAt(now),
+                         state.brittle.number(), state.brittle.AgeAt(now)});
     }
     state.changed = state.changed && all;
   }
@@ -122,6 +123,13 @@
                      [](const auto& item) { return item.second.changed; });
 }
 
+void SelfReports::RecordRejection(const UpstreamId& id, Millis now) {
+  const auto state = states_.find(id);
+  if (state != states_.end()) {
+    state->second.brittle_bound.RecordRejection(now);
+  }
+}
+
 void SelfReports::RecordSend(const UpstreamId& id, Millis now) {
   const auto state = states_.find(id);
   if (state != states_.end()) {
@@ -131,6 +139,16 @@
 
 std::optional<Millis> SelfReports::SendableAt(const UpstreamId& id,
                                               Millis now) {
+  const std::optional<Millis> callable_at = CallableAt(id, now);
+  const auto known = states_.find(id);
+  if (!callable_at || known == states_.end()) {
+    return callable_at;
+  }
+  return std::max(*callable_at, BrittleFreeAt(id, known->second, now));
+}
+
+std::optional<Millis> SelfReports::CallableAt(const UpstreamId& id,
+                                              Millis now) {
   const auto known = states_.find(id);
   if (known == states_.end()) {
     return now;
@@ -142,34 +160,18 @@
   return std::max({now, state.paused_until, LimitFreeAt(id, state, now)});
 }
 
-int64_t SelfReports::SettledShare(State& state, int64_t share, Millis now) {
-  if (!state.share || share <= *state.share) {
-    state.share = share;
-    state.share_rises_at.reset();
-    return share;
-  }
-  if (!state.share_rises_at) {
-    state.share_rises_at = now + kLimitWindow;
-  }
-  if (now >= *state.share_rises_at) {
-    state.share = share;
-    state.share_rises_at.reset();
-  }
-  return *state.share;
-}
-
 Millis SelfReports::LimitFreeAt(const UpstreamId& id,
                                 State& state,
                                 Millis now) const {
-  if (!state.requests_per_second ||
-      now - *state.limit_said_at > kLimitLifetime) {
+  const std::optional<double> limit = state.limit.InForce(now);
+  if (!limit) {
     return now;
   }
   const DaemonRank rank = hooks_.rank(id);
-  const int64_t in_window =
-      RequestsAllowed(*state.requests_per_second, kLimitWindow);
+  const int64_t in_window = RequestsAllowed(*limit, kLimitWindow);
   const Millis free_in_window = state.sends.FreeAt(
-      SettledShare(state, ShareOf(in_window, rank), now), now, kLimitWindow);
+      state.share.Settle(ShareOf(in_window, rank), now, kLimitWindow), now,
+      kLimitWindow);
   // Where there are fewer requests than daemons, those that have a part of the
   // short window share the long one.
   const DaemonRank long_rank = {
@@ -177,13 +179,27 @@
       std::min(rank.daemons,
                static_cast<size_t>(std::max<int64_t>(1, in_window))),
       rank.is_known};
-  const int64_t in_long_window =
-      RequestsAllowed(*state.requests_per_second, kLongLimitWindow);
+  const int64_t in_long_window = RequestsAllowed(*limit, kLongLimitWindow);
   return std::max(free_in_window,
                   state.sends.FreeAt(ShareOf(in_long_window, long_rank), now,
                                      kLongLimitWindow));
 }
 
+Millis SelfReports::BrittleFreeAt(const UpstreamId& id,
+                                  State& state,
+                                  Millis now) const {
+  const std::optional<double> rejections = state.brittle.InForce(now);
+  if (!rejections) {
+    return now;
+  }
+  // Larger numbers are no different from this one.
+  constexpr double kMaxRejections = 1e6;
+  const UpstreamRoom room = hooks_.room ? hooks_.room(id) : UpstreamRoom();
+  return state.brittle_bound.FreeAt(
+      static_cast<int64_t>(std::min(*rejections, kMaxRejections)), room,
+      hooks_.rank(id), now);
+}
+
 void SelfReports::OnListed(const UpstreamId& id,
                            int64_t started_at,
                            Millis now) {
--- a/src/telemetry/events.cc
+++ b/src/telemetry/events.cc
@@ -92,6 +92,7 @@
     EventRow{Event::kUpstreamLimited, Level::kInfo, "upstream_limited"},
     EventRow{Event::kUpstreamPaused, Level::kInfo, "upstream_paused"},
     EventRow{Event::kSelfReportRefused, Level::kWarning, "self_report_refused"},
+    EventRow{Event::kUpstreamBrittle, Level::kWarning, "upstream_brittle"},
     EventRow{Event::kDataCentreEvacuated, Level::kInfo,
              "data_centre_evacuated"},
     EventRow{Event::kDataCentreRestored, Level::kInfo, "data_centre_restored"},
--- a/src/telemetry/events.h
+++ b/src/telemetry/events.h
@@ -70,6 +70,7 @@
   kUpstreamPaused = 417,
   kSelfReportRefused = 418,
   kUpstreamLimitLearned = 419,
+  kUpstreamBrittle = 420,
   kDataCentreEvacuated = 414,
   kDataCentreRestored = 415,
   kForwardDone = 510,
--- a/test/forward-reports-test.cc
+++ b/test/forward-reports-test.cc
@@ -143,6 +143,78 @@
   }
 }
 
+/// An upstream that says it is brittle, lets nobody wait and falls over once it
+/// has turned more than `kMostRejections` requests away in a second.
+struct BrittleUpstream {
+  static constexpr size_t kMostRejections = 4;
+
+  Task<void> Handle(http::Exchange& exchange) {
+    http::Response response = SealedResponse(exchange.request(), "answer");
+    response.headers.Add("Server-Brittle", std::to_string(kMostRejections));
+    if (running >= free_slots) {
+      RecordRejection();
+      response.status = kUnavailable;
+      response.headers.Add("X-Dandeliondyke-Not-Executed", "1");
+    } else {
+      ++running;
+      co_await base::SleepFor(Millis(20));
+      --running;
+      ++served;
+    }
+    (void)co_await exchange.Respond(std::move(response));
+  }
+
+  void RecordRejection() {
+    const Millis now = clock.Now();
+    rejections.push_back(now);
+    size_t in_second = 0;
+    for (const Millis at : rejections) {
+      in_second += now - at < Millis(1000) ? 1 : 0;
+    }
+    fell_over |= in_second > kMostRejections;
+  }
+
+  base::Clock clock = base::Clock::Monotonic();
+  /// Slots that requests of other daemons leave.
+  int free_slots = 1;
+  int running = 0;
+  int served = 0;
+  bool fell_over = false;
+  std::vector<Millis> rejections;
+};
+
+// The other daemons' requests have taken all slots, and no news of them has
+// come yet.
+TEST_CASE("a brittle upstream falls over as it rejects too many requests",
+          "[reports][brittle]") {
+  BrittleUpstream brittle;
+  ReportFixture fixture([&brittle](http::Exchange& exchange) {
+    return brittle.Handle(exchange);
+  });
+  // Eight slots and four rejections: three for each daemon.
+  fixture.rank = {1, 4};
+  CHECK(fixture.Send().status == kOk);
+  brittle.free_slots = 0;
+  constexpr int kRequests = 20;
+  int answered = 0;
+  for (int i = 0; i < kRequests; ++i) {
+    fixture.StartRequest(CallerRequestFor("read", "b-" + std::to_string(i)),
+                         [&answered](absl::StatusOr<http::Response> response) {
+                           answered += response.ok() ? 1 : 0;
+                         });
+  }
+  CHECK(
+      fixture.RunUntil([&brittle] { return brittle.rejections.size() >= 3; }));
+  brittle.free_slots = 2;
+  CHECK(fixture.RunUntil([&] {
+    fixture.placer->DispatchWaiting();
+    return answered == kRequests;
+  }));
+  CHECK_FALSE(brittle.fell_over);
+  // Those that were not rejected were served once there was room.
+  CHECK(brittle.served > kRequests / 2);
+}
+
 TEST_CASE("an engine that says in an answer that it leaves keeps its streams",
           "[reports]") {
   ForwardFixture fixture;
--- a/test/forward-support.cc
+++ b/test/forward-support.cc
@@ -169,13 +169,18 @@
                  [](const base::UpstreamId&) {}}),
       health({[](const base::UpstreamId&, Millis) {},
               [](const base::UpstreamId&) {}}),
-      self_reports(
-          {[this](const base::UpstreamId& id, std::string_view why) {
-             upstreams.MarkLeaving(id, why, Now());
-           },
-           [](const base::UpstreamId&, std::optional<double>) {},
-           [](const base::UpstreamId&, Millis) {},
-           [](const base::UpstreamId&) { return routing::DaemonRank(); }}),
+      self_reports({[this](const base::UpstreamId& id, std::string_view why) {
+                      upstreams.MarkLeaving(id, why, Now());
+                    },
+                    [](const base::UpstreamId&, std::optional<double>) {},
+                    [](const base::UpstreamId&, Millis) {},
+                    [this](const base::UpstreamId&) { return rank; },
+                    [](const base::UpstreamId&, std::optional<double>) {},
+                    [this](const base::UpstreamId& id) {
+                      return routing::UpstreamRoom{
+                          upstreams.Find(id)->entry.slots,
+                          loads.OwnLoad(id).running};
+                    }}),
       retry_budget(relay::PoolRetryBudget::Bounds()),
       metrics(10),
       quarantine(
--- a/test/forward-support.h
+++ b/test/forward-support.h
@@ -169,6 +169,8 @@
   fleet::UpstreamList upstreams;
   routing::LoadTracker loads;
   routing::UpstreamHealth health;
+  /// The daemon's rank among those that share the limits of upstreams.
+  routing::DaemonRank rank;
   routing::SelfReports self_reports;
   std::unique_ptr<relay::Placer> placer;
   std::unique_ptr<migration::Migrator> migrator;
