Let calls through a door to the store end before the door does

Change: a door counts its calls, and the fixtures close it and run tasks until it is idle. No check is changed.

--- a/test/changes-in-force-test.cc
+++ b/test/changes-in-force-test.cc
@@ -59,6 +59,10 @@
   ~ChangesFixture() {
     ended = true;
     RunUntil([this] { return !beats; });
+    for (Host& host : hosts) {
+      host.daemon.reset();
+      CloseDoor(*host.door);
+    }
     hosts.clear();
     upstream.CloseAll();
     EndTasks();
--- a/test/changes-soak-test.cc
+++ b/test/changes-soak-test.cc
@@ -122,6 +122,10 @@
     ended = true;
     RunUntil([this] { return !beats; });
     probes.clear();
+    for (Host& host : hosts) {
+      host.daemon.reset();
+      CloseDoor(*host.door);
+    }
     hosts.clear();
     for (const auto& upstream : upstreams) {
       upstream->CloseAll();
--- a/test/daemon-support.h
+++ b/test/daemon-support.h
@@ -96,6 +96,14 @@
     context.run_for(std::chrono::milliseconds(50));
   }
 
+  /// Closes a door whose daemon has ended and lets its calls end. To be called
+  /// before the door is destroyed.
+  void CloseDoor(StoreDoor& door) {
+    door.Close();
+    RunUntil([&door] { return door.IsIdle(); });
+    EndTasks();
+  }
+
   static json MakeRoute(const std::string& name,
                         const std::string& kind,
                         const std::string& pool) {
--- a/test/fake-store.cc
+++ b/test/fake-store.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "absl/cleanup/cleanup.h"
 #include "absl/strings/ascii.h"
 #include "absl/strings/escaping.h"
 #include "absl/strings/str_cat.h"
@@ -300,6 +301,11 @@
         return HandleRequest(exchange);
       }) {}
 
+void StoreDoor::Close() {
+  closed_ = true;
+  server_.CloseAll();
+}
+
 StoreFault StoreDoor::FaultOf(const http::Request& request) const {
   if (fault_of_all_ != StoreFault::kNone) {
     return fault_of_all_;
@@ -313,9 +319,14 @@
 }
 
 Task<void> StoreDoor::HandleRequest(http::Exchange& exchange) {
+  ++calls_;
+  const absl::Cleanup end_call = [this] { --calls_; };
   const http::Request& request = exchange.request();
   if (FaultOf(request) == StoreFault::kLate) {
-    co_await base::SleepFor(kLateness);
+    for (base::Millis waited{0}; waited < kLateness && !closed_;
+         waited = waited + kReadStep) {
+      co_await base::SleepFor(kReadStep);
+    }
   }
   bool hangs = FaultOf(request) == StoreFault::kHang;
   http::Response response;
--- a/test/fake-store.h
+++ b/test/fake-store.h
@@ -136,6 +136,10 @@
     fault_of_all_ = StoreFault::kNone;
   }
   boost::asio::ip::tcp::endpoint address() const { return server_.address(); }
+  /// Closes all connections. Calls in progress use the door until `IsIdle`, so
+  /// tasks are to be run until then before it is destroyed.
+  void Close();
+  bool IsIdle() const { return calls_ == 0; }
 
  private:
   StoreFault FaultOf(const http::Request& request) const;
@@ -144,6 +148,8 @@
   FakeStore& store_;
   std::map<std::string, StoreFault> faults_;
   StoreFault fault_of_all_ = StoreFault::kNone;
+  bool closed_ = false;
+  int calls_ = 0;
   FakeUpstream server_;
 };
 
--- a/test/taken-up-out-of-step-test.cc
+++ b/test/taken-up-out-of-step-test.cc
@@ -39,7 +39,8 @@
   ~OutOfStepFixture() {
     late.reset();
     other.reset();
-    EndTasks();
+    CloseDoor(late_door);
+    CloseDoor(other_door);
   }
 
   std::unique_ptr<RunningDaemon> StartThrough(const std::string& host,
